--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -270,6 +270,8 @@
   s.may_probe = boolean_or(limits, "MayProbe", false);
   s.second_copies = boolean_or(limits, "SecondCopies", false);
   if (boolean_or(limits, "RetryAfter", false)) s.max_retry_after = micros_or(limits, "MaxRetryAfterUs", 0);
+  s.connect_timeout = micros_or(limits, "DialTimeoutUs", 0);
+  s.link_idle = micros_or(limits, "ConnIdleUs", 0);
   s.cross_zone_price = number_or(section(boot, "Prices"), "CrossZone", 0);
 
   const json& domain = section(boot, "Domain");
--- a/include/chalkspread/balance.hpp
+++ b/include/chalkspread/balance.hpp
@@ -54,6 +54,9 @@
   Micros progress_every{0};  // gap between progress notes; 0: none
   Micros max_retry_after{0};
   double cross_zone_price = 0;  // share of a request's worth that crossing zones costs
+  // For the owner's links to workers, where it has any; the module has no use for them. 0: not told.
+  Micros connect_timeout{0};
+  Micros link_idle{0};  // a worker closes a link that has stood idle for this long
 };
 
 // Throws std::invalid_argument, naming the setting, when one cannot be right.
--- /dev/null
+++ b/src/core/clock.hpp
@@ -0,0 +1,39 @@
+// Time in the dispatcher: milliseconds as double, from one Clock. The module's Micros are made and read here
+// and nowhere else.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+
+#include "chalkspread/balance.hpp"
+
+namespace woadtide::core {
+
+// Milliseconds since the Unix epoch. Unix time is read once, at the start, and steady time added to it: the
+// module compares it with a worker's born_ms, and must never see it go back.
+class Clock {
+ public:
+  double now() const {
+    const double held = held_.load();
+    if (held >= 0) return held;
+    const auto elapsed = std::chrono::steady_clock::now() - steady_at_start_;
+    return unix_at_start_ + std::chrono::duration<double, std::milli>(elapsed).count();
+  }
+  // For tests: from here on the clock stands at `ms` until it is set again.
+  void set(double ms) { held_.store(ms); }
+
+ private:
+  double unix_at_start_ =
+      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+  std::chrono::steady_clock::time_point steady_at_start_ = std::chrono::steady_clock::now();
+  std::atomic<double> held_{-1};
+};
+
+inline chalkspread::Micros to_micros(double ms) {
+  return chalkspread::Micros{static_cast<std::int64_t>(std::llround(ms * 1000))};
+}
+inline double to_ms(chalkspread::Micros span) { return static_cast<double>(span.count()) / 1000; }
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/config.cpp
@@ -0,0 +1,53 @@
+#include "core/config.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "wire.hpp"
+
+namespace woadtide::core {
+
+namespace {
+std::uint64_t read_seed(const std::string& hex) {
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(hex.data(), hex.data() + hex.size(), seed, 16);
+  if (error != std::errc{} || end != hex.data() + hex.size())
+    throw std::runtime_error("seed: up to 16 hex digits wanted");
+  return seed;
+}
+}  // namespace
+
+Config read_config(const nlohmann::json& object) {
+  try {
+    Config config;
+    config.name = object.value("name", "");
+    config.listen = object.at("listen").get<std::string>();
+    config.discovery = object.at("discovery").get<std::string>();
+    config.seed = read_seed(object.at("seed").get<std::string>());
+    if (object.contains("limits")) config.sockets = object["limits"].value("sockets", config.sockets);
+    if (object.contains("known")) config.known = read_host_list(object["known"]);
+    config.settings = chalkspread::wire::read_settings(object.at("settings"), config.class_names);
+    check(config.settings);
+    return config;
+  } catch (const nlohmann::json::exception& wrong) {
+    throw std::runtime_error(wrong.what());
+  } catch (const std::logic_error& wrong) {  // check()'s word on a setting
+    throw std::runtime_error(wrong.what());
+  }
+}
+
+Config load_config(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(path + ": cannot be read");
+  const nlohmann::json object = nlohmann::json::parse(file, nullptr, false);
+  if (object.is_discarded()) throw std::runtime_error(path + ": not JSON");
+  try {
+    return read_config(object);
+  } catch (const std::runtime_error& wrong) {
+    throw std::runtime_error(path + ": " + wrong.what());
+  }
+}
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/config.hpp
@@ -0,0 +1,27 @@
+// What the platform tells a dispatcher: DEPLOY's config file.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "chalkspread/balance.hpp"
+#include "core/host_list.hpp"
+
+namespace woadtide::core {
+
+struct Config {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  HostList known;
+  chalkspread::Settings settings;
+  std::vector<std::string> class_names;
+};
+
+// Both throw std::runtime_error with one plain line for whoever wrote the file.
+Config read_config(const nlohmann::json& object);
+Config load_config(const std::string& path);
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/decision_loop.cpp
@@ -0,0 +1,248 @@
+#include "core/decision_loop.hpp"
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+#include "core/log.hpp"
+
+namespace woadtide::core {
+
+using chalkspread::Status;
+
+namespace {
+constexpr double kCountsEvery = 10'000;  // gap between two lines of figures in the log
+}
+
+DecisionLoop::DecisionLoop(chalkspread::Settings settings, std::vector<std::string> class_names,
+                           std::uint64_t seed, Clock& clock, Inbox& inbox, Executor& executor,
+                           HostSource& hosts)
+    : class_names_(std::move(class_names)),
+      dispatcher_(std::move(settings), seed),
+      clock_(clock),
+      inbox_(inbox),
+      executor_(executor),
+      hosts_(hosts),
+      counted_since_(clock.now()) {}
+
+void DecisionLoop::run() {
+  while (!stopped_) inbox_.wait(step());
+}
+
+double DecisionLoop::step() {
+  // Messages before timers: a result that has come beats a deadline that has passed meanwhile.
+  for (Message& message : inbox_.take()) std::visit([this](auto& came) { take(came); }, message);
+  fire_due();
+  if (clock_.now() - counted_since_ >= kCountsEvery) report_counts();
+  const double next = timers_.empty() ? kCountsEvery : timers_.begin()->first - clock_.now();
+  return std::clamp(next, 0.0, kCountsEvery);
+}
+
+void DecisionLoop::fire_due() {
+  while (!timers_.empty() && timers_.begin()->first <= clock_.now()) {
+    const Timer timer = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    if (timer.attempt == kToken)
+      feed(chalkspread::TimerFired{timer.name});
+    else if (timer.attempt == kWholeQuery)
+      on_deadline(timer.name);
+    else
+      time_out({timer.name, timer.attempt});
+  }
+}
+
+// What comes in ----------------------------------------------------------------------------------------
+
+void DecisionLoop::take(QueryArrived& message) {
+  Query& query = message.query;
+  counts_.queries += 1;
+  const auto name = std::find(class_names_.begin(), class_names_.end(), query.class_name);
+  const char* wrong = nullptr;
+  if (name == class_names_.end()) wrong = "unknown class";
+  // The module would not answer a second query of the same id, and a worker could run it twice.
+  if (queries_.contains(query.id)) wrong = "this id is in work already";
+  if (wrong) {
+    counts_.answers[static_cast<std::size_t>(AnswerKind::bad_query)] += 1;
+    return message.asker->answer({AnswerKind::bad_query, wrong});
+  }
+  queries_.emplace(query.id, Open{std::move(message.asker), std::move(query.parcel), query.deadline, {}});
+  timers_.emplace(query.deadline, Timer{query.id, kWholeQuery});
+  chalkspread::Request request;
+  request.id = query.id;
+  request.class_index = static_cast<std::size_t>(name - class_names_.begin());
+  request.slots = query.slots;
+  if (query.cost_ms) request.hint = to_micros(*query.cost_ms);
+  request.time_left = to_micros(query.deadline - clock_.now());
+  feed(request);
+}
+
+void DecisionLoop::take(ClientGone& message) {
+  const auto found = queries_.find(message.query);
+  if (found == queries_.end() || !found->second.asker) return;
+  counts_.gone += 1;
+  found->second.asker.reset();
+  feed(chalkspread::RequestGone{message.query});
+  drop_if_over(message.query);
+}
+
+void DecisionLoop::take(ExecutionStarted& message) {
+  feed(chalkspread::JobStarted{message.key.query, message.key.attempt});
+}
+
+void DecisionLoop::take(ExecutionProgress& message) {
+  feed(chalkspread::JobProgress{message.key.query, message.key.attempt});
+}
+
+void DecisionLoop::take(ExecutionEnded& message) {
+  const auto found = queries_.find(message.key.query);
+  if (found == queries_.end()) return;
+  // Only the first result reaches the client, and before the module hears of it: it is owed at once.
+  if (message.status == Status::ok && found->second.asker &&
+      found->second.executions.at(static_cast<std::size_t>(message.key.attempt)).out)
+    settle(found->second, {AnswerKind::served, std::move(message.result)});
+  end(message.key, message.status);
+}
+
+void DecisionLoop::take(ProbeEnded& message) {
+  feed(chalkspread::ProbeResult{message.worker, message.status, message.load});
+}
+
+void DecisionLoop::take(ListTold& message) { feed(message.update); }
+
+void DecisionLoop::take(FinishAll&) {
+  std::vector<std::string> unsettled;
+  for (const auto& [id, open] : queries_)
+    if (open.asker) unsettled.push_back(id);
+  if (!unsettled.empty()) log_line("end: " + std::to_string(unsettled.size()) + " queries failed unfinished");
+  for (const std::string& id : unsettled) {
+    settle(queries_.at(id), {AnswerKind::failed, {}});
+    feed(chalkspread::RequestGone{id});
+    drop_if_over(id);
+  }
+}
+
+void DecisionLoop::take(Stop&) { stopped_ = true; }
+
+// What the module wants --------------------------------------------------------------------------------
+
+void DecisionLoop::feed(const chalkspread::Event& event) {
+  std::vector<chalkspread::Action> actions;
+  try {
+    dispatcher_.handle(to_micros(clock_.now()), event, actions);
+  } catch (const std::exception& broken) {
+    // A query that the module drops by this still gets its answer, at its deadline.
+    log_line(std::string("module: ") + broken.what());
+  }
+  for (const chalkspread::Action& action : actions)
+    std::visit([this](const auto& todo) { act(todo); }, action);
+}
+
+void DecisionLoop::act(const chalkspread::Send& action) {
+  const auto found = queries_.find(action.id);
+  if (found == queries_.end()) return;
+  Open& open = found->second;
+  const ExecutionKey key{action.id, static_cast<int>(open.executions.size())};
+  const double now = clock_.now();
+  open.executions.push_back({now, true});
+  counts_.executions += 1;
+  if (action.timeout.count() > 0)
+    timers_.emplace(std::min(now + to_ms(action.timeout), open.deadline), Timer{key.query, key.attempt});
+  executor_.start({key, action.worker, open.parcel, open.deadline});
+}
+
+void DecisionLoop::act(const chalkspread::Refuse& action) {
+  const auto found = queries_.find(action.id);
+  if (found == queries_.end()) return;
+  settle(found->second, {AnswerKind::refused, {}, to_ms(action.retry_after)});
+  drop_if_over(action.id);
+}
+
+void DecisionLoop::act(const chalkspread::Fail& action) {
+  const auto found = queries_.find(action.id);
+  if (found == queries_.end()) return;
+  const bool late = clock_.now() >= found->second.deadline;
+  settle(found->second, {late ? AnswerKind::timed_out : AnswerKind::failed, {}});
+  drop_if_over(action.id);
+}
+
+void DecisionLoop::act(const chalkspread::Cancel& action) { executor_.cancel({action.id, action.attempt}); }
+void DecisionLoop::act(const chalkspread::Probe& action) { executor_.probe(action.worker); }
+void DecisionLoop::act(const chalkspread::Watch&) { hosts_.watch(); }
+void DecisionLoop::act(const chalkspread::SetTimer& action) {
+  timers_.emplace(to_ms(action.at), Timer{action.token, kToken});
+}
+void DecisionLoop::act(const chalkspread::Log& action) { log_line("module: " + action.text); }
+
+// Endings ----------------------------------------------------------------------------------------------
+
+// The one place that answers a client: a query is settled exactly once.
+void DecisionLoop::settle(Open& open, Answer answer) {
+  if (!open.asker) return;
+  counts_.answers[static_cast<std::size_t>(answer.kind)] += 1;
+  std::exchange(open.asker, nullptr)->answer(std::move(answer));
+}
+
+// Each execution's outcome reaches the module exactly once, also when its query is settled.
+void DecisionLoop::end(const ExecutionKey& key, Status status) {
+  const auto found = queries_.find(key.query);
+  if (found == queries_.end()) return;
+  Open& open = found->second;
+  const auto place = static_cast<std::size_t>(key.attempt);
+  if (place >= open.executions.size() || !open.executions[place].out) return;
+  open.executions[place].out = false;
+  if (status != Status::ok) counts_.failures += 1;
+  chalkspread::Outcome outcome;
+  outcome.id = key.query;
+  outcome.attempt = key.attempt;
+  outcome.status = status;
+  outcome.latency = to_micros(clock_.now() - open.executions[place].sent);
+  outcome.closed = !open.asker;
+  feed(outcome);
+  drop_if_over(key.query);
+}
+
+void DecisionLoop::time_out(const ExecutionKey& key) {
+  const auto found = queries_.find(key.query);
+  if (found == queries_.end() || !found->second.executions.at(static_cast<std::size_t>(key.attempt)).out)
+    return;
+  executor_.cancel(key);
+  end(key, Status::timeout);
+}
+
+void DecisionLoop::on_deadline(const std::string& id) {
+  const auto found = queries_.find(id);
+  if (found == queries_.end()) return;
+  const std::size_t sent = found->second.executions.size();
+  for (std::size_t i = 0; i < sent && queries_.contains(id); ++i) time_out({id, static_cast<int>(i)});
+  const auto still = queries_.find(id);
+  if (still == queries_.end() || !still->second.asker) return;
+  // The module should have answered by now. Whatever held it up, the client is owed an answer.
+  log_line("module: no answer for a query at its deadline");
+  settle(still->second, {AnswerKind::timed_out, {}});
+  feed(chalkspread::RequestGone{id});
+  drop_if_over(id);
+}
+
+void DecisionLoop::drop_if_over(const std::string& id) {
+  const auto found = queries_.find(id);
+  if (found == queries_.end() || found->second.asker) return;
+  const auto& executions = found->second.executions;
+  if (std::none_of(executions.begin(), executions.end(), [](const Running& e) { return e.out; }))
+    queries_.erase(found);
+}
+
+void DecisionLoop::report_counts() {
+  counted_since_ = clock_.now();
+  const Counts counts = std::exchange(counts_, {});
+  if (counts.queries == 0 && queries_.empty()) return;
+  const auto answers = [&](AnswerKind kind) {
+    return std::to_string(counts.answers[static_cast<std::size_t>(kind)]);
+  };
+  log_line("figures: queries " + std::to_string(counts.queries) + " served " + answers(AnswerKind::served) +
+           " refused " + answers(AnswerKind::refused) + " failed " + answers(AnswerKind::failed) +
+           " timed-out " + answers(AnswerKind::timed_out) + " bad " + answers(AnswerKind::bad_query) +
+           " gone " + std::to_string(counts.gone) + " executions " + std::to_string(counts.executions) +
+           " not-ok " + std::to_string(counts.failures) + " open " + std::to_string(queries_.size()));
+}
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/decision_loop.hpp
@@ -0,0 +1,90 @@
+// Owns the decision module and all that it knows of queries and timers. One thread runs it; everything else
+// reaches it through the Inbox. It knows no protocol, and decides nothing that the module decides.
+#pragma once
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "chalkspread/balance.hpp"
+#include "core/clock.hpp"
+#include "core/inbox.hpp"
+#include "core/query.hpp"
+
+namespace woadtide::core {
+
+class DecisionLoop {
+ public:
+  DecisionLoop(chalkspread::Settings settings, std::vector<std::string> class_names, std::uint64_t seed,
+               Clock& clock, Inbox& inbox, Executor& executor, HostSource& hosts);
+
+  // Until a Stop comes.
+  void run();
+  // Handles all that has come and all that is due. Returns how many ms from now the next timer is due.
+  double step();
+
+ private:
+  struct Running {
+    double sent = 0;
+    bool out = true;  // its ending is still to come
+  };
+  struct Open {                    // a query that is not over: not settled, or with executions out
+    std::shared_ptr<Asker> asker;  // empty once settled
+    Parcel parcel;
+    double deadline = 0;
+    std::vector<Running> executions;
+  };
+  struct Timer {
+    std::string name;  // the module's token, or a query's id
+    int attempt = kToken;
+  };
+  static constexpr int kToken = -2, kWholeQuery = -1;  // Timer::attempt, where it is no attempt
+  struct Counts {
+    std::array<int, 5> answers{};  // by AnswerKind
+    int queries = 0, executions = 0, failures = 0, gone = 0;
+  };
+  using Queries = std::map<std::string, Open>;
+
+  void take(QueryArrived& message);
+  void take(ClientGone& message);
+  void take(ExecutionStarted& message);
+  void take(ExecutionProgress& message);
+  void take(ExecutionEnded& message);
+  void take(ProbeEnded& message);
+  void take(ListTold& message);
+  void take(FinishAll& message);
+  void take(Stop& message);
+
+  void act(const chalkspread::Send& action);
+  void act(const chalkspread::Refuse& action);
+  void act(const chalkspread::Fail& action);
+  void act(const chalkspread::Cancel& action);
+  void act(const chalkspread::Probe& action);
+  void act(const chalkspread::Watch& action);
+  void act(const chalkspread::SetTimer& action);
+  void act(const chalkspread::Log& action);
+
+  void feed(const chalkspread::Event& event);
+  void settle(Open& open, Answer answer);
+  void end(const ExecutionKey& key, chalkspread::Status status);
+  void time_out(const ExecutionKey& key);
+  void on_deadline(const std::string& id);
+  void drop_if_over(const std::string& id);
+  void fire_due();
+  void report_counts();
+
+  std::vector<std::string> class_names_;
+  chalkspread::Dispatcher dispatcher_;
+  Clock& clock_;
+  Inbox& inbox_;
+  Executor& executor_;
+  HostSource& hosts_;
+  Queries queries_;
+  std::multimap<double, Timer> timers_;
+  bool stopped_ = false;
+  Counts counts_;
+  double counted_since_;
+};
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/host_list.cpp
@@ -0,0 +1,49 @@
+#include "core/host_list.hpp"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "core/clock.hpp"
+
+namespace woadtide::core {
+
+using chalkspread::WorkerState;
+
+namespace {
+
+WorkerState state_of(const std::string& word) {
+  if (word == "Ready") return WorkerState::ready;
+  if (word == "Terminating") return WorkerState::draining;
+  if (word == "Gone") return WorkerState::gone;
+  throw std::runtime_error("host list: unknown health '" + word + "'");
+}
+
+Host read_host(const nlohmann::json& object) {
+  Host host;
+  host.entry.worker = object.at("host").get<std::string>();
+  host.entry.state = state_of(object.at("health").get<std::string>());
+  host.entry.zone = object.value("site", "");
+  host.entry.kind = object.value("class", "");
+  host.entry.cell = object.value("block", std::int64_t{0});
+  host.entry.weight = object.value("share", 1.0);
+  const double born = object.value("born_ms", 0.0);
+  if (born > 0) host.entry.started = to_micros(born);
+  host.dial = object.at("dial").get<std::string>();
+  return host;
+}
+
+}  // namespace
+
+HostList read_host_list(const nlohmann::json& object) {
+  try {
+    HostList list;
+    list.seq = object.at("seq").get<std::int64_t>();
+    list.whole = object.at("whole").get<bool>();
+    for (const nlohmann::json& host : object.at("hosts")) list.hosts.push_back(read_host(host));
+    return list;
+  } catch (const nlohmann::json::exception& wrong) {
+    throw std::runtime_error(std::string("host list: ") + wrong.what());
+  }
+}
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/host_list.hpp
@@ -0,0 +1,27 @@
+// Discovery's list of workers, decoded: it comes from the watch, and as `known` in the config.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "chalkspread/balance.hpp"
+
+namespace woadtide::core {
+
+struct Host {
+  chalkspread::ListEntry entry;
+  std::string dial;  // host:port, as this dispatcher reaches it
+};
+
+struct HostList {
+  std::int64_t seq = 0;
+  bool whole = false;
+  std::vector<Host> hosts;
+};
+
+// Throws std::runtime_error, naming the field, where the list is not what discovery may write.
+HostList read_host_list(const nlohmann::json& object);
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/inbox.hpp
@@ -0,0 +1,74 @@
+// The one way into the decision loop: a queue that any thread may put messages into.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "core/clock.hpp"
+#include "core/query.hpp"
+
+namespace woadtide::core {
+
+struct QueryArrived {
+  Query query;
+  std::shared_ptr<Asker> asker;
+};
+struct ClientGone {  // closed its link before the answer
+  std::string query;
+};
+struct ExecutionStarted {
+  ExecutionKey key;
+};
+struct ExecutionProgress {
+  ExecutionKey key;
+};
+struct ExecutionEnded {
+  ExecutionKey key;
+  chalkspread::Status status = chalkspread::Status::error;
+  std::string result;  // with Status::ok
+};
+struct ProbeEnded {
+  std::string worker;
+  chalkspread::Status status = chalkspread::Status::error;
+  std::optional<chalkspread::LoadReport> load;
+};
+struct ListTold {
+  chalkspread::ListUpdate update;
+};
+struct FinishAll {};  // the process is about to end: what is still open is answered now
+struct Stop {};       // ends DecisionLoop::run
+
+using Message = std::variant<QueryArrived, ClientGone, ExecutionStarted, ExecutionProgress, ExecutionEnded,
+                             ProbeEnded, ListTold, FinishAll, Stop>;
+
+class Inbox {
+ public:
+  void put(Message message) {
+    const std::lock_guard lock(mutex_);
+    messages_.push_back(std::move(message));
+    came_.notify_one();
+  }
+  // All that has come, in order.
+  std::deque<Message> take() {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(messages_, {});
+  }
+  // Waits until something has come, `ms` at the longest.
+  void wait(double ms) {
+    std::unique_lock lock(mutex_);
+    came_.wait_for(lock, std::chrono::duration<double, std::milli>(ms),
+                   [this] { return !messages_.empty(); });
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable came_;
+  std::deque<Message> messages_;
+};
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/log.cpp
@@ -0,0 +1,27 @@
+#include "core/log.hpp"
+
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <string>
+
+namespace woadtide::core {
+
+void log_line(std::string_view text) {
+  const auto now = std::chrono::system_clock::now();
+  const std::time_t second = std::chrono::system_clock::to_time_t(now);
+  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  std::tm utc{};
+  gmtime_r(&second, &utc);
+  char stamp[40];
+  const std::size_t length = std::strftime(stamp, sizeof stamp, "%FT%T", &utc);
+  std::snprintf(stamp + length, sizeof stamp - length, ".%03dZ ", static_cast<int>(since % 1000));
+  std::string line = stamp;
+  line.append(text).push_back('\n');
+  // One write, so that lines of several threads do not mix. A log that cannot be written stops nothing.
+  if (::write(STDERR_FILENO, line.data(), line.size()) < 0) return;
+}
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/core/query.hpp
@@ -0,0 +1,77 @@
+// What stands between the protocols and the decision loop: a query in, an answer out; an execution out, its
+// ending in. Any protocol that can hand in a Query and take an Answer can stand before the loop.
+#pragma once
+
+#include <compare>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "chalkspread/balance.hpp"
+
+namespace woadtide::core {
+
+// What a worker is to get, as the client sent it. The loop never looks inside.
+struct Parcel {
+  std::shared_ptr<const void> hold;  // owns the bytes that the views show
+  std::string_view method, target, fields, body;
+};
+
+struct Query {
+  std::string id;
+  std::string class_name;
+  double slots = 1;
+  std::optional<double> cost_ms;  // the client's guess at the work
+  double deadline = 0;            // when the client gives up, on the Clock
+  Parcel parcel;
+};
+
+enum class AnswerKind { served, refused, failed, timed_out, bad_query };
+
+struct Answer {
+  AnswerKind kind = AnswerKind::failed;
+  std::string body;           // served: the worker's result; bad_query: what is wrong with it
+  double retry_after_ms = 0;  // refused: when to come back; 0: no advice
+};
+
+// The client's side of one query at a time.
+class Asker {
+ public:
+  virtual ~Asker() = default;
+  // The final answer; called once for each query, on the loop's thread. Must not block.
+  virtual void answer(Answer answer) = 0;
+};
+
+struct ExecutionKey {
+  std::string query;
+  int attempt = 0;
+  auto operator<=>(const ExecutionKey&) const = default;
+};
+
+struct Execution {
+  ExecutionKey key;
+  std::string worker;
+  Parcel parcel;
+  double deadline = 0;
+};
+
+// Carries out executions and reports each one's ending, exactly once, to the Inbox. No call may block.
+class Executor {
+ public:
+  virtual ~Executor() = default;
+  virtual void start(Execution execution) = 0;
+  // Stops waiting for it; the worker works on.
+  virtual void cancel(const ExecutionKey& key) = 0;
+  virtual void probe(const std::string& worker) = 0;
+};
+
+// Where the list of workers comes from.
+class HostSource {
+ public:
+  virtual ~HostSource() = default;
+  // Opens a watch on the list; what it tells, a failure included, comes to the Inbox. Must not block.
+  virtual void watch() = 0;
+};
+
+}  // namespace woadtide::core
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,91 @@
+// The command line of woadtide.
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <stdexcept>
+
+#include "core/config.hpp"
+#include "core/log.hpp"
+#include "node.hpp"
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int kBadUse = 2;
+
+int serve(const std::string& path) {
+  // Few arenas: with a thread for each link, one each would eat the memory limit.
+  mallopt(M_ARENA_MAX, 2);
+  // Before the first thread, so that all inherit it: the main thread alone waits for the end.
+  sigset_t ends;
+  sigemptyset(&ends);
+  sigaddset(&ends, SIGTERM);
+  sigaddset(&ends, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  auto config = woadtide::core::load_config(path);
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0)
+    config.sockets = std::min<std::size_t>(config.sockets, descriptors.rlim_cur);
+  woadtide::core::Clock clock;
+  woadtide::Node node(std::move(config), clock);
+  int caught = 0;
+  sigwait(&ends, &caught);
+  node.finish();
+  return 0;
+}
+
+int run(int argc, char** argv) {
+  std::string command, path;
+  const char* told = std::getenv("ROUTER_CONFIG");
+  options::options_description shown("Options");
+  shown.add_options()("help,h", "print this page")(
+      "config,c", options::value(&path)->default_value(told ? told : "", told ? "$ROUTER_CONFIG" : "none"),
+      "the config file");
+  options::options_description all(shown);
+  all.add_options()("command", options::value(&command)->default_value("serve"));
+  options::positional_options_description places;
+  places.add("command", 1);
+  options::variables_map values;
+  options::store(options::command_line_parser(argc, argv).options(all).positional(places).run(), values);
+  options::notify(values);
+
+  if (values.count("help")) {
+    std::cout << "Usage: woadtide [serve | check-config | version] [options]\n\n"
+                 "  serve         run the dispatcher (the default)\n"
+                 "  check-config  say whether the config file is good\n"
+                 "  version       print the version\n\n"
+              << shown;
+    return 0;
+  }
+  if (command == "version") {
+    std::cout << "woadtide " WOADTIDE_VERSION "\n";
+    return 0;
+  }
+  if (command != "serve" && command != "check-config")
+    throw std::runtime_error("unknown command '" + command + "'");
+  if (path.empty()) throw std::runtime_error("no config file: give --config or set ROUTER_CONFIG");
+  if (command == "serve") return serve(path);
+  woadtide::core::load_config(path);
+  std::cout << path << ": good\n";
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& wrong) {
+    std::cerr << "woadtide: " << wrong.what() << std::endl;
+    return kBadUse;
+  }
+}
--- /dev/null
+++ b/src/net/host_group.hpp
@@ -0,0 +1,62 @@
+// The host group: discovery's list as this dispatcher has it, and the watch that keeps it fresh.
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "core/host_list.hpp"
+#include "core/inbox.hpp"
+#include "net/buffer_pool.hpp"
+#include "net/socket.hpp"
+#include "net/thread.hpp"
+
+namespace woadtide::net {
+
+class HostGroup : public core::HostSource {
+ public:
+  // Discovery writes at least an empty line every 2 s. A watch that misses two of them, and some, has failed:
+  // a machine that is cut off says nothing, and a drain counts as told 6 s after discovery knew of it.
+  static constexpr double kSilenceMs = 5'000;
+  static constexpr double kConnectMs = 1'000;
+
+  struct Known {
+    Address address;
+    std::string dial;
+    chalkspread::WorkerState state = chalkspread::WorkerState::gone;
+  };
+
+  // The remembered list goes to the Inbox at once.
+  HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
+            core::Inbox& inbox, BufferPool& pool);
+  ~HostGroup() override;
+  HostGroup(const HostGroup&) = delete;
+  HostGroup& operator=(const HostGroup&) = delete;
+
+  // While a watch is open or being opened this changes nothing: its outcome is the answer.
+  void watch() override;
+  // As the newest list has it; nullopt where it names no such worker.
+  std::optional<Known> find(const std::string& worker) const;
+
+ private:
+  void run();
+  void follow();
+  void apply(const core::HostList& list, chalkspread::ListKind kind);
+
+  const std::string discovery_;
+  const Address address_;
+  core::Clock& clock_;
+  core::Inbox& inbox_;
+  BufferPool& pool_;
+  mutable std::mutex mutex_;
+  std::condition_variable wanted_changed_;
+  bool wanted_ = false, following_ = false, stopping_ = false;
+  std::int64_t seq_ = 0;
+  std::map<std::string, Known> hosts_;
+  Socket socket_;
+  Thread thread_;  // last: it uses all the others
+};
+
+}  // namespace woadtide::net
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,267 @@
+#include "net/http.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace woadtide::net {
+
+namespace {
+
+constexpr std::size_t kMostFields = 100;
+constexpr std::size_t kMostSizeLine = 256;
+
+char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
+
+bool is_token_char(char c) {
+  return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') ||
+         (c != 0 && std::strchr("!#$%&'*+-.^_`|~", c) != nullptr);
+}
+bool is_token(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_char);
+}
+// Control characters have no place in a head: passed on, they could split a worker's.
+bool is_clean(std::string_view text) {
+  return std::none_of(text.begin(), text.end(),
+                      [](char c) { return (static_cast<unsigned char>(c) < 32 && c != '\t') || c == 127; });
+}
+
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+
+// Cuts off `text` up to `end` and returns what stood before it.
+std::string_view cut(std::string_view& text, std::string_view end) {
+  const std::size_t at = text.find(end);
+  const std::string_view before = text.substr(0, at);
+  text.remove_prefix(at == std::string_view::npos ? text.size() : at + end.size());
+  return before;
+}
+
+void read_version(Head& head, std::string_view version) {
+  if (version != "HTTP/1.1" && version != "HTTP/1.0") throw BadMessage(400, "not HTTP/1.1");
+  head.http10 = version == "HTTP/1.0";
+}
+
+void read_fields(Head& head, std::string_view rest) {
+  while (!rest.empty()) {
+    const std::string_view line = cut(rest, "\r\n");
+    if (line.empty()) break;
+    if (head.fields.size() == kMostFields) throw BadMessage(431, "too many header fields");
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) || !is_clean(line))
+      throw BadMessage(400, "malformed header field");
+    head.fields.push_back({line.substr(0, colon), trimmed(line.substr(colon + 1))});
+  }
+}
+
+bool closes(const Head& head) {
+  bool close = head.http10;
+  for (const Field& field : head.fields) {
+    if (!same_name(field.name, "Connection")) continue;
+    for (std::string_view rest = field.value; !rest.empty();) {
+      const std::string_view option = trimmed(cut(rest, ","));
+      if (same_name(option, "close")) return true;
+      if (same_name(option, "keep-alive")) close = false;
+    }
+  }
+  return close;
+}
+
+// Where two readers could see two lengths, a second message could hide in the first: that is refused.
+std::optional<Framing> told_framing(const Head& head) {
+  Framing framing;
+  framing.closes = closes(head);
+  std::optional<std::uint64_t> length;
+  bool chunked = false;
+  for (const Field& field : head.fields) {
+    if (same_name(field.name, "Transfer-Encoding")) {
+      if (chunked || !same_name(field.value, "chunked")) throw BadMessage(400, "unknown transfer encoding");
+      chunked = true;
+    } else if (same_name(field.name, "Content-Length")) {
+      const auto value = whole_number(field.value);
+      if (!value || length) throw BadMessage(400, "malformed Content-Length");
+      length = value;
+    }
+  }
+  if (chunked && length) throw BadMessage(400, "both Content-Length and Transfer-Encoding");
+  if (chunked) framing.kind = Framing::Kind::chunked;
+  if (length) framing.length = *length;
+  if (!chunked && !length) return std::nullopt;
+  return framing;
+}
+
+}  // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::optional<std::uint64_t> whole_number(std::string_view text) {
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::optional<std::string_view> Head::find(std::string_view name) const {
+  for (const Field& field : fields)
+    if (same_name(field.name, name)) return field.value;
+  return std::nullopt;
+}
+
+std::size_t head_length(std::string_view raw) {
+  const std::size_t end = raw.substr(0, kMostHead).find("\r\n\r\n");
+  if (end != std::string_view::npos) return end + 4;
+  if (raw.size() >= kMostHead) throw BadMessage(431, "head too large");
+  return 0;
+}
+
+Head read_query_head(std::string_view raw) {
+  Head head;
+  std::string_view line = cut(raw, "\r\n");
+  head.method = cut(line, " ");
+  head.target = cut(line, " ");
+  if (!is_token(head.method) || !head.target.starts_with('/') || !is_clean(head.target))
+    throw BadMessage(400, "malformed request line");
+  read_version(head, line);
+  read_fields(head, raw);
+  return head;
+}
+
+Head read_answer_head(std::string_view raw) {
+  Head head;
+  std::string_view line = cut(raw, "\r\n");
+  read_version(head, cut(line, " "));
+  const auto status = whole_number(cut(line, " "));
+  if (!status || *status < 100 || *status > 599) throw BadMessage(400, "malformed status line");
+  head.status = static_cast<int>(*status);
+  read_fields(head, raw);
+  return head;
+}
+
+Framing framing_of_query(const Head& head) {
+  const Framing framing = told_framing(head).value_or(Framing{Framing::Kind::length, 0, closes(head)});
+  if (framing.length > kMostBody) throw BadMessage(413, "body over 64 KiB");
+  return framing;
+}
+
+Framing framing_of_answer(const Head& head) {
+  if (head.status < 200 || head.status == 204 || head.status == 304)
+    return {Framing::Kind::length, 0, closes(head)};
+  return told_framing(head).value_or(Framing{Framing::Kind::to_end, 0, true});
+}
+
+BodyDecoder::BodyDecoder(const Framing& framing)
+    : chunked_(framing.kind == Framing::Kind::chunked), left_(framing.length) {
+  if (chunked_)
+    state_ = State::size_line;
+  else if (framing.kind == Framing::Kind::to_end)
+    state_ = State::to_end;
+  else
+    state_ = left_ == 0 ? State::over : State::data;
+}
+
+std::size_t BodyDecoder::feed(std::string_view raw, const std::function<void(std::string_view)>& sink) {
+  std::size_t used = 0;
+  while (used < raw.size() && state_ != State::over) {
+    const std::string_view rest = raw.substr(used);
+    if (state_ == State::to_end) {
+      sink(rest);
+      return raw.size();
+    }
+    if (state_ == State::data || state_ == State::chunk) {
+      const auto take = static_cast<std::size_t>(std::min<std::uint64_t>(left_, rest.size()));
+      sink(rest.substr(0, take));
+      used += take;
+      left_ -= take;
+      if (left_ == 0) state_ = state_ == State::data ? State::over : State::chunk_end;
+      continue;
+    }
+    // A line: a chunk's size, the end of its data, or a trailer.
+    const char c = rest.front();
+    used += 1;
+    line_.push_back(c);
+    if (line_.size() > kMostSizeLine) throw BadMessage(400, "malformed chunk");
+    if (c != '\n') continue;
+    if (!line_.ends_with("\r\n")) throw BadMessage(400, "malformed chunk");
+    const std::string_view line = std::string_view(line_).substr(0, line_.size() - 2);
+    if (state_ == State::size_line) {
+      const std::string_view digits = trimmed(line.substr(0, line.find(';')));
+      const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), left_, 16);
+      if (digits.empty() || error != std::errc{} || end != digits.data() + digits.size())
+        throw BadMessage(400, "malformed chunk");
+      state_ = left_ == 0 ? State::trailer : State::chunk;
+    } else if (state_ == State::chunk_end) {
+      if (!line.empty()) throw BadMessage(400, "malformed chunk");
+      state_ = State::size_line;
+    } else if (line.empty()) {
+      state_ = State::over;
+    }
+    line_.clear();
+  }
+  return used;
+}
+
+Io Intake::more(double deadline) {
+  if (from_ > 0) {
+    std::memmove(buffer_.data(), buffer_.data() + from_, to_ - from_);
+    to_ -= from_;
+    from_ = 0;
+  }
+  if (to_ == kBufferBytes) return Io::broken;
+  std::size_t got = 0;
+  const Io io = socket_.receive(buffer_.data() + to_, kBufferBytes - to_, got, deadline, clock_);
+  if (io == Io::done) to_ += got;
+  return io;
+}
+
+std::optional<std::size_t> Intake::head(double deadline, Io& why) {
+  for (;;) {
+    if (const std::size_t length = head_length(view())) return length;
+    why = more(deadline);
+    if (why != Io::done) return std::nullopt;
+  }
+}
+
+void LineReader::absorb() {
+  intake_.use(decoder_.feed(intake_.view(), [this](std::string_view piece) { pending_.append(piece); }));
+}
+
+LineReader::Got LineReader::next(std::string& line, double deadline) {
+  for (;;) {
+    absorb();
+    if (const std::size_t end = pending_.find('\n'); end != std::string::npos) {
+      line.assign(pending_, 0, end);
+      if (line.ends_with('\r')) line.pop_back();
+      pending_.erase(0, end + 1);
+      return Got::line;
+    }
+    if (pending_.size() > kMostBody) throw BadMessage(413, "line over 64 KiB");
+    if (decoder_.over()) {
+      if (pending_.empty()) return Got::end;
+      line = std::exchange(pending_, {});
+      return Got::line;
+    }
+    switch (intake_.more(deadline)) {
+      case Io::done:
+        break;
+      case Io::late:
+        return Got::late;
+      case Io::ended:
+        return decoder_.to_end() && pending_.empty() ? Got::end : Got::broken;
+      case Io::broken:
+        return Got::broken;
+    }
+  }
+}
+
+bool LineReader::finished() {
+  absorb();
+  return decoder_.over() && pending_.empty();
+}
+
+}  // namespace woadtide::net
--- /dev/null
+++ b/src/net/server_links.cpp
@@ -0,0 +1,291 @@
+#include "net/server_links.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "core/log.hpp"
+
+namespace woadtide::net {
+
+using chalkspread::Status;
+
+namespace {
+
+// The loop cancels at the deadline; this only keeps a thread from staying for ever if it did not.
+constexpr double kBackstopMs = 2'000;
+// How long the end of a body may come behind its last line before the link is not worth keeping.
+constexpr double kTailMs = 200;
+constexpr double kProbeMs = 1'000;
+
+std::string head_for(const core::Execution& execution, const std::string& dial, double left_ms) {
+  const core::Parcel& parcel = execution.parcel;
+  std::string head;
+  head.reserve(parcel.target.size() + parcel.fields.size() + 160);
+  head.append(parcel.method).append(" ").append(parcel.target).append(" HTTP/1.1\r\nHost: ").append(dial);
+  head.append("\r\n").append(parcel.fields);
+  head.append("X-Budget: ").append(std::to_string(std::llround(std::max(left_ms, 0.0)))).append("m\r\n");
+  head.append("Content-Length: ").append(std::to_string(parcel.body.size())).append("\r\n\r\n");
+  return head;
+}
+
+// PROTOCOL's table, for an answer other than 200. Only one marked as turned away proves that nothing ran.
+Status status_of(const Head& head) {
+  const bool turned_away = head.find("X-Rejected") == "1";
+  return turned_away && (head.status == 503 || head.status == 504) ? Status::full : Status::error;
+}
+
+}  // namespace
+
+ServerLinks::ServerLinks(Limits limits, core::Clock& clock, core::Inbox& inbox, const HostGroup& hosts,
+                         BufferPool& pool)
+    : limits_(limits), clock_(clock), inbox_(inbox), hosts_(hosts), pool_(pool) {}
+
+ServerLinks::~ServerLinks() {
+  {
+    const std::lock_guard lock(mutex_);
+    for (Link& link : links_) {
+      link.closing = link.cancelled = true;
+      if (link.socket) link.socket.shut();
+      link.wake.notify_one();
+    }
+  }
+  for (Link& link : links_) link.thread.join();
+}
+
+// The loop's side ----------------------------------------------------------------------------------------
+
+void ServerLinks::start(core::Execution execution) { assign(std::move(execution), false); }
+
+void ServerLinks::probe(const std::string& worker) {
+  core::Execution execution;
+  execution.worker = worker;
+  execution.parcel.method = "GET";
+  execution.parcel.target = "/stats";
+  execution.deadline = clock_.now() + kProbeMs;
+  assign(std::move(execution), true);
+}
+
+void ServerLinks::assign(core::Execution execution, bool probe) {
+  const auto host = hosts_.find(execution.worker);
+  Task task{std::move(execution), probe, host.value_or(HostGroup::Known{})};
+  if (!host) return report(task, {Status::connect_failed});
+  const std::lock_guard lock(mutex_);
+  reap();
+  Link* link = idle_link(task);
+  if (!link) {
+    // No room for a link: nothing was sent, and it says nothing about the worker.
+    if (!make_room()) return report(task, {Status::moot});
+    link = &links_.emplace_back();
+    try {
+      link->thread = Thread("server-link", [this, link] { serve(*link); });
+    } catch (const std::exception& failed) {
+      core::log_line(std::string("server links: ") + failed.what());
+      links_.pop_back();
+      return report(task, {Status::moot});
+    }
+    link->worker = task.execution.worker;
+    link->dial = task.host.dial;
+  }
+  link->idle = link->cancelled = false;
+  link->key = task.execution.key;
+  link->task = std::move(task);
+  link->wake.notify_one();
+}
+
+// Newest first: the others may grow old and be dropped. One that the worker has closed would end the
+// execution in a reset, so it is looked at before it is used again.
+ServerLinks::Link* ServerLinks::idle_link(const Task& task) {
+  Link* newest = nullptr;
+  for (Link& link : links_) {
+    if (!link.idle || link.closing || link.worker != task.execution.worker) continue;
+    if (link.dial != task.host.dial || !link.socket.quiet()) {
+      link.closing = true;
+      link.wake.notify_one();
+    } else if (!newest || link.idle_since > newest->idle_since) {
+      newest = &link;
+    }
+  }
+  return newest;
+}
+
+// At the edge the link that stood idle longest goes first.
+bool ServerLinks::make_room() {
+  std::size_t open = 0;
+  Link* oldest = nullptr;
+  for (Link& link : links_) {
+    if (link.closing) continue;
+    open += 1;
+    if (link.idle && (!oldest || link.idle_since < oldest->idle_since)) oldest = &link;
+  }
+  if (open < limits_.most) return true;
+  if (!oldest) {
+    core::log_line("server links: all " + std::to_string(limits_.most) + " are busy");
+    return false;
+  }
+  oldest->closing = true;
+  oldest->wake.notify_one();
+  return true;
+}
+
+void ServerLinks::reap() {
+  std::erase_if(links_, [](const Link& link) { return link.over; });
+}
+
+void ServerLinks::cancel(const core::ExecutionKey& key) {
+  const std::lock_guard lock(mutex_);
+  for (Link& link : links_) {
+    if (link.idle || link.over || link.key != key) continue;
+    link.cancelled = true;
+    if (link.socket) link.socket.shut();
+  }
+}
+
+// The links' threads -------------------------------------------------------------------------------------
+
+void ServerLinks::serve(Link& link) {
+  std::unique_lock lock(mutex_);
+  for (;;) {
+    const std::chrono::duration<double, std::milli> idle(limits_.idle_ms);
+    link.wake.wait_for(lock, idle, [&link] { return link.task || link.closing; });
+    if (!link.task) break;  // idle for too long, or shed
+    const Task task = std::move(*link.task);
+    link.task.reset();
+    lock.unlock();
+    carry_out(link, task);
+    lock.lock();
+    if (link.closing && !link.task) break;
+  }
+  link.closing = true;
+  link.idle = false;
+  link.socket = Socket{};
+  link.over = true;
+}
+
+void ServerLinks::carry_out(Link& link, const Task& task) {
+  bool sent = false;
+  try {
+    Intake intake(link.socket, clock_, pool_.take());
+    if (auto ending = hand_over(link, task)) {
+      set_idle(link, false);
+      return report(task, std::move(*ending));
+    }
+    sent = true;
+    std::optional<LineReader> lines;
+    Ending ending = await(link, task, intake, lines);
+    if (!lines || lines->finished()) {
+      // Free before the ending is told: the loop may have the next execution for this worker at once.
+      set_idle(link, lines.has_value());
+      return report(task, std::move(ending));
+    }
+    report(task, std::move(ending));
+    std::string rest;
+    set_idle(link, lines->next(rest, clock_.now() + kTailMs) == LineReader::Got::end);
+  } catch (const std::exception& failed) {
+    // No descriptor or no memory, say. Once it was sent it may have run.
+    core::log_line(std::string("server link: ") + failed.what());
+    set_idle(link, false);
+    report(task, {sent ? Status::reset : Status::connect_failed});
+  }
+}
+
+// Connects if need be and sends the query. An ending, if it did not come to its last byte: then nothing ran.
+std::optional<ServerLinks::Ending> ServerLinks::hand_over(Link& link, const Task& task) {
+  const core::Execution& execution = task.execution;
+  if (!link.socket) {
+    Socket fresh = Socket::make(task.host.address);
+    {
+      const std::lock_guard lock(mutex_);
+      if (link.cancelled) return Ending{Status::cancelled};
+      link.socket = std::move(fresh);
+    }
+    const double within = std::min(limits_.connect_ms, execution.deadline - clock_.now());
+    if (!link.socket.connect(task.host.address, within)) return broken(link, Status::connect_failed);
+  }
+  // The connect may have outlived a drain notice, and nothing new may go to a worker that drains.
+  const auto host = hosts_.find(execution.worker);
+  if (!host || host->state != chalkspread::WorkerState::ready) return broken(link, Status::connect_failed);
+  const std::string head = head_for(execution, task.host.dial, execution.deadline - clock_.now());
+  const Io sent = link.socket.send(head, execution.parcel.body, execution.deadline + kBackstopMs, clock_);
+  if (sent != Io::done) return broken(link, Status::connect_failed);
+  return std::nullopt;
+}
+
+// From the last byte on it may have run. `lines` is set where the link may serve again once the body is over.
+ServerLinks::Ending ServerLinks::await(Link& link, const Task& task, Intake& intake,
+                                       std::optional<LineReader>& lines) {
+  const double until = task.execution.deadline + kBackstopMs;
+  try {
+    for (;;) {
+      Io why = Io::done;
+      const auto length = intake.head(until, why);
+      if (!length) return broken(link, Status::reset);
+      const Head head = read_answer_head(intake.view().substr(0, *length));
+      const Framing framing = framing_of_answer(head);
+      const Status refused = status_of(head);
+      const int status = head.status;
+      intake.use(*length);
+      if (status < 200) continue;
+      LineReader reader(intake, framing);
+      Ending ending{refused};
+      if (status == 200) ending = await_lines(link, task, reader);
+      if (!framing.closes && ending.status != Status::reset) lines.emplace(reader);
+      return ending;
+    }
+  } catch (const BadMessage&) {
+    lines.reset();
+    return broken(link, Status::error);  // the worker answered, and nobody can tell what
+  }
+}
+
+ServerLinks::Ending ServerLinks::await_lines(Link& link, const Task& task, LineReader& lines) {
+  const core::ExecutionKey& key = task.execution.key;
+  std::string line;
+  for (;;) {
+    if (lines.next(line, task.execution.deadline + kBackstopMs) != LineReader::Got::line)
+      return broken(link, Status::reset);
+    if (line.empty()) continue;
+    if (task.probe) return {Status::ok};
+    const nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
+    // Another query's result must not reach this client.
+    if (!event.is_object() || event.value("id", nlohmann::json()) != key.query)
+      throw BadMessage(400, "not an event of this execution");
+    const nlohmann::json state = event.value("state", nlohmann::json());
+    if (state == "started") inbox_.put(core::ExecutionStarted{key});
+    if (state == "running") inbox_.put(core::ExecutionProgress{key});
+    if (state == "failed") return {Status::error};
+    if (state == "returned") return {Status::full};
+    if (state == "lost") return {Status::reset};
+    if (state != "done") continue;
+    const nlohmann::json result = event.value("result", nlohmann::json());
+    if (!result.is_string()) throw BadMessage(400, "a result is not text");
+    return {Status::ok, result.get<std::string>()};
+  }
+}
+
+// What it means that a link broke: our own doing, where it was cancelled.
+ServerLinks::Ending ServerLinks::broken(Link& link, Status otherwise) {
+  return {is_cancelled(link) ? Status::cancelled : otherwise};
+}
+
+bool ServerLinks::is_cancelled(Link& link) {
+  const std::lock_guard lock(mutex_);
+  return link.cancelled;
+}
+
+void ServerLinks::set_idle(Link& link, bool reusable) {
+  const std::lock_guard lock(mutex_);
+  if (link.cancelled || !reusable) link.closing = true;
+  link.idle = !link.closing;
+  link.idle_since = clock_.now();
+}
+
+void ServerLinks::report(const Task& task, Ending ending) {
+  if (task.probe)
+    inbox_.put(core::ProbeEnded{task.execution.worker, ending.status, ending.load});
+  else
+    inbox_.put(core::ExecutionEnded{task.execution.key, ending.status, std::move(ending.result)});
+}
+
+}  // namespace woadtide::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,133 @@
+#include "net/socket.hpp"
+
+#include <netdb.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cmath>
+#include <cstring>
+#include <stdexcept>
+#include <system_error>
+
+namespace woadtide::net {
+
+namespace {
+[[noreturn]] void fail(const char* what) { throw std::system_error(errno, std::generic_category(), what); }
+
+void set(int fd, int level, int option, int value) { ::setsockopt(fd, level, option, &value, sizeof value); }
+}  // namespace
+
+Fd::~Fd() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+Address::Address(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) throw std::invalid_argument("'" + text + "' is not host:port");
+  addrinfo hints{}, *found = nullptr;
+  hints.ai_socktype = SOCK_STREAM;
+  hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
+  const std::string host = text.substr(0, colon), port = text.substr(colon + 1);
+  if (port.empty() || ::getaddrinfo(host.c_str(), port.c_str(), &hints, &found) != 0)
+    throw std::invalid_argument("'" + text + "' is not a numeric host:port");
+  std::memcpy(&storage, found->ai_addr, found->ai_addrlen);
+  length = found->ai_addrlen;
+  ::freeaddrinfo(found);
+}
+
+std::pair<short, short> wait_for(int fd, short events, int other, double deadline, const core::Clock& clock) {
+  for (;;) {
+    std::array<pollfd, 2> set{pollfd{fd, events, 0}, pollfd{other, POLLIN, 0}};
+    const double left = std::clamp(std::ceil(deadline - clock.now()), 0.0, 1e9);
+    const int ready = ::poll(set.data(), set.size(), static_cast<int>(left));
+    if (ready > 0) return {set[0].revents, set[1].revents};
+    if (ready < 0 && errno != EINTR) fail("poll");
+    if (clock.now() >= deadline) return {0, 0};
+  }
+}
+
+Socket Socket::make(const Address& address) {
+  Socket socket{Fd(::socket(address.storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0))};
+  if (!socket) fail("socket");
+  set(socket.fd(), IPPROTO_TCP, TCP_NODELAY, 1);
+  return socket;
+}
+
+Socket Socket::listen_at(const Address& address) {
+  Socket socket = make(address);
+  set(socket.fd(), SOL_SOCKET, SO_REUSEADDR, 1);
+  if (::bind(socket.fd(), reinterpret_cast<const sockaddr*>(&address.storage), address.length) != 0)
+    fail("bind");
+  if (::listen(socket.fd(), 1024) != 0) fail("listen");
+  return socket;
+}
+
+bool Socket::connect(const Address& address, double within_ms) {
+  // On Linux the send timeout bounds a blocking connect too; a shut() from outside ends it early.
+  const auto micros = static_cast<long>(std::max(within_ms, 1.0) * 1000);
+  timeval within{micros / 1'000'000, micros % 1'000'000};
+  ::setsockopt(fd(), SOL_SOCKET, SO_SNDTIMEO, &within, sizeof within);
+  return ::connect(fd(), reinterpret_cast<const sockaddr*>(&address.storage), address.length) == 0;
+}
+
+Io Socket::receive(char* to, std::size_t room, std::size_t& got, double deadline, const core::Clock& clock) {
+  for (;;) {
+    const ssize_t count = ::recv(fd(), to, room, MSG_DONTWAIT);
+    if (count > 0) {
+      got = static_cast<std::size_t>(count);
+      return Io::done;
+    }
+    if (count == 0) return Io::ended;
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK) return Io::broken;
+    if (wait_for(fd(), POLLIN, -1, deadline, clock).first == 0) return Io::late;
+  }
+}
+
+Io Socket::send(std::string_view head, std::string_view body, double deadline, const core::Clock& clock) {
+  std::array<iovec, 2> parts{iovec{const_cast<char*>(head.data()), head.size()},
+                             iovec{const_cast<char*>(body.data()), body.size()}};
+  std::size_t left = head.size() + body.size();
+  while (left > 0) {
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    const ssize_t count = ::sendmsg(fd(), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (count < 0) {
+      if (errno == EINTR) continue;
+      if (errno != EAGAIN && errno != EWOULDBLOCK) return Io::broken;
+      if (wait_for(fd(), POLLOUT, -1, deadline, clock).first == 0) return Io::late;
+      continue;
+    }
+    auto sent = static_cast<std::size_t>(count);
+    left -= sent;
+    for (iovec& part : parts) {
+      const std::size_t taken = std::min(sent, part.iov_len);
+      part.iov_base = static_cast<char*>(part.iov_base) + taken;
+      part.iov_len -= taken;
+      sent -= taken;
+    }
+  }
+  return Io::done;
+}
+
+bool Socket::quiet() const {
+  char byte = 0;
+  return fd_ && ::recv(fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+int Socket::port() const {
+  sockaddr_in bound{};
+  socklen_t length = sizeof bound;
+  ::getsockname(fd(), reinterpret_cast<sockaddr*>(&bound), &length);
+  return ntohs(bound.sin_port);
+}
+
+}  // namespace woadtide::net
--- /dev/null
+++ b/src/net/socket.hpp
@@ -0,0 +1,75 @@
+// Blocking TCP sockets. Every read and write has an absolute deadline on the Clock.
+#pragma once
+
+#include <sys/socket.h>
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/clock.hpp"
+
+namespace woadtide::net {
+
+// An open descriptor. Only its owner closes it; others may shut a socket down to wake the owner.
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~Fd();
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_ = -1;
+};
+
+// "host:port" with a numeric host. Throws std::invalid_argument for anything else.
+struct Address {
+  Address() = default;
+  explicit Address(const std::string& text);
+  sockaddr_storage storage{};
+  socklen_t length = 0;
+};
+
+enum class Io { done, ended, broken, late };
+
+class Socket {
+ public:
+  Socket() = default;
+  explicit Socket(Fd fd) : fd_(std::move(fd)) {}
+
+  // An unconnected socket for `address`, with TCP_NODELAY. Throws std::system_error.
+  static Socket make(const Address& address);
+  // Throws std::system_error. Port 0 takes a free one.
+  static Socket listen_at(const Address& address);
+
+  bool connect(const Address& address, double within_ms);
+  // done: `got` bytes came, at least one.
+  Io receive(char* to, std::size_t room, std::size_t& got, double deadline, const core::Clock& clock);
+  // Both parts in as few writes as the kernel takes. done: the last byte was handed over.
+  Io send(std::string_view head, std::string_view body, double deadline, const core::Clock& clock);
+  // Open, and nothing has come: a link that stood idle may be used again.
+  bool quiet() const;
+  void shut(int how = SHUT_RDWR) const { ::shutdown(fd_.get(), how); }
+
+  int fd() const { return fd_.get(); }
+  explicit operator bool() const { return static_cast<bool>(fd_); }
+  int port() const;
+
+ private:
+  Fd fd_;
+};
+
+// Waits for `events` on one descriptor and for input on another (or -1) until `deadline`; poll's revents of
+// both, 0 and 0 when it is late.
+std::pair<short, short> wait_for(int fd, short events, int other, double deadline, const core::Clock& clock);
+
+}  // namespace woadtide::net
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,83 @@
+#include "node.hpp"
+
+#include <poll.h>
+
+#include <algorithm>
+
+#include "core/log.hpp"
+
+namespace woadtide {
+
+namespace {
+
+// Standard streams, listener, discovery's link, wake-ups, and links that are about to close.
+constexpr std::size_t kOtherDescriptors = 64;
+
+// PROTOCOL: new links keep coming for 0.2 to 0.4 s after SIGTERM, and what comes within 0.7 s is owed.
+// SIGKILL comes no sooner than the longest deadline, 3 s at most, plus 0.7 s after it.
+constexpr double kAcceptOnMs = 550;
+constexpr double kMostDeadlineMs = 3'000;
+constexpr double kFinishMs = 300;  // then all must be answered: leaves 0.4 s to write and to end
+constexpr double kLastAnswersMs = 150;
+
+double longest_deadline(const chalkspread::Settings& settings) {
+  double longest = 0;
+  for (const auto& kind : settings.classes) longest = std::max(longest, core::to_ms(kind.deadline));
+  return longest;
+}
+
+net::ServerLinks::Limits server_limits(const chalkspread::Settings& settings, const Budget& budget) {
+  net::ServerLinks::Limits limits;
+  limits.most = budget.server_links;
+  if (settings.connect_timeout.count() > 0) limits.connect_ms = core::to_ms(settings.connect_timeout);
+  if (settings.link_idle.count() > 0) limits.idle_ms = core::to_ms(settings.link_idle) / 2;
+  return limits;
+}
+
+}  // namespace
+
+Budget::Budget(std::size_t descriptors) {
+  // A third each: a client link holds two, its socket and its wake-up.
+  const std::size_t third = (std::max(descriptors, 2 * kOtherDescriptors) - kOtherDescriptors) / 3;
+  client_links = server_links = third;
+}
+
+Node::Node(core::Config config, core::Clock& clock)
+    : clock_(clock),
+      longest_ms_(longest_deadline(config.settings)),
+      budget_(config.sockets),
+      listener_(net::Socket::listen_at(net::Address(config.listen))),
+      port_(listener_.port()),
+      pool_(budget_.buffers()),
+      hosts_(config.discovery, config.known, clock, inbox_, pool_),
+      servers_(server_limits(config.settings, budget_), clock, inbox_, hosts_, pool_),
+      loop_(config.settings, config.class_names, config.seed, clock, inbox_, servers_, hosts_),
+      loop_thread_("decisions", [this] { loop_.run(); }),
+      stopper_{inbox_},
+      side_{clock, inbox_, pool_},
+      clients_(std::move(listener_), budget_.client_links, side_) {
+  side_.ready = true;
+  core::log_line("start: " + config.name + " serves at " + config.listen + ", client links " +
+                 std::to_string(budget_.client_links) + ", server links " +
+                 std::to_string(budget_.server_links));
+}
+
+void Node::finish() {
+  const double told = clock_.now();
+  const double last = told + std::min(longest_ms_, kMostDeadlineMs) + kFinishMs;
+  core::log_line("end: SIGTERM, " + std::to_string(clients_.open()) + " client links open");
+  side_.ready = false;
+  side_.draining = true;
+  const auto pause_until = [this](double until, bool while_open) {
+    while (clock_.now() < until && (!while_open || clients_.open() > 0)) ::poll(nullptr, 0, 10);
+  };
+  pause_until(told + kAcceptOnMs, false);
+  clients_.stop_accepting();
+  pause_until(told + kAcceptOnMs + kLastAnswersMs, false);
+  pause_until(last, true);
+  inbox_.put(core::FinishAll{});
+  pause_until(last + kLastAnswersMs, true);
+  core::log_line("end: done, " + std::to_string(clients_.open()) + " client links open");
+}
+
+}  // namespace woadtide
--- /dev/null
+++ b/src/node.hpp
@@ -0,0 +1,48 @@
+// One whole dispatcher: the parts put together, from its config to its end.
+#pragma once
+
+#include "core/config.hpp"
+#include "core/decision_loop.hpp"
+#include "net/client_links.hpp"
+#include "net/host_group.hpp"
+#include "net/server_links.hpp"
+
+namespace woadtide {
+
+// How the descriptors that the platform allows are shared out.
+struct Budget {
+  explicit Budget(std::size_t descriptors);
+  std::size_t client_links, server_links;
+  std::size_t buffers() const { return client_links + 2 * server_links; }
+};
+
+class Node {
+ public:
+  // Listens and serves from here on. Throws std::system_error where it cannot.
+  Node(core::Config config, core::Clock& clock);
+
+  int port() const { return port_; }
+  // The planned end, from SIGTERM on: answers all that was taken, then returns.
+  void finish();
+
+ private:
+  core::Clock& clock_;
+  const double longest_ms_;  // longest deadline of a class
+  const Budget budget_;
+  net::Socket listener_;  // opened first: what goes wrong there goes wrong before any thread runs
+  const int port_;
+  net::BufferPool pool_;  // before whatever may hold a buffer
+  core::Inbox inbox_;
+  net::HostGroup hosts_;
+  net::ServerLinks servers_;
+  core::DecisionLoop loop_;
+  net::Thread loop_thread_;
+  struct Stopper {  // goes before the thread that it stops
+    core::Inbox& inbox;
+    ~Stopper() { inbox.put(core::Stop{}); }
+  } stopper_;
+  net::ClientSide side_;
+  net::ClientLinks clients_;
+};
+
+}  // namespace woadtide
