--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -4,5 +4,5 @@
 
 int main() {
   std::ios::sync_with_stdio(false);
-  return chalkspread::wire::serve(std::cin, std::cout, std::cerr);
+  return woadtide::wire::serve(std::cin, std::cout, std::cerr);
 }
--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-namespace chalkspread::wire {
+namespace woadtide::wire {
 
 using nlohmann::json;
 
@@ -366,4 +366,4 @@
   return 0;
 }
 
-}  // namespace chalkspread::wire
+}  // namespace woadtide::wire
--- a/adapter/wire.hpp
+++ b/adapter/wire.hpp
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "chalkspread/balance.hpp"
+#include "woadtide/balance.hpp"
 
-namespace chalkspread::wire {
+namespace woadtide::wire {
 
 // A line that is not what the wire's page allows. `what()` names the field.
 struct Malformed : std::runtime_error {
@@ -46,4 +46,4 @@
 // Serves until input ends. Returns the exit code: 1 after a malformed line, told on `err`.
 int serve(std::istream& in, std::ostream& out, std::ostream& err);
 
-}  // namespace chalkspread::wire
+}  // namespace woadtide::wire
--- a/include/chalkspread/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -1,4 +1,4 @@
-// chalkspread: the decisions of one dispatcher that pushes jobs to workers.
+// woadtide: the decisions of one dispatcher that pushes jobs to workers.
 //
 // The owner feeds events with the time they happened and carries out the actions that come back, in
 // order. The module does no I/O, reads no clock and starts no thread; the same settings, seed and events
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace chalkspread {
+namespace woadtide {
 
 using Micros = std::chrono::microseconds;  // spans, and points on the owner's clock
 
@@ -181,4 +181,4 @@
   std::unique_ptr<State> state_;
 };
 
-}  // namespace chalkspread
+}  // namespace woadtide
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,5 +1,5 @@
-// The interface of this module is include/chalkspread/balance.hpp.
-#include "chalkspread/balance.hpp"
+// The interface of this module is include/woadtide/balance.hpp.
+#include "woadtide/balance.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -9,7 +9,7 @@
 
 #include "numbers.hpp"
 
-namespace chalkspread {
+namespace woadtide {
 namespace {
 
 constexpr Micros kInterval = std::chrono::seconds(3);  // the PAPER's gap between two updates of a limit
@@ -620,4 +620,4 @@
 
 double Dispatcher::slots_out() const { return state_->slots_out(false); }
 
-}  // namespace chalkspread
+}  // namespace woadtide
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -7,7 +7,7 @@
 #include <cmath>
 #include <cstdint>
 
-#include "chalkspread/balance.hpp"
+#include "woadtide/balance.hpp"
 
 namespace woadtide::core {
 
@@ -31,9 +31,9 @@
   std::atomic<double> held_{-1};
 };
 
-inline chalkspread::Micros to_micros(double ms) {
-  return chalkspread::Micros{static_cast<std::int64_t>(std::llround(ms * 1000))};
+inline woadtide::Micros to_micros(double ms) {
+  return woadtide::Micros{static_cast<std::int64_t>(std::llround(ms * 1000))};
 }
-inline double to_ms(chalkspread::Micros span) { return static_cast<double>(span.count()) / 1000; }
+inline double to_ms(woadtide::Micros span) { return static_cast<double>(span.count()) / 1000; }
 
 }  // namespace woadtide::core
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -28,7 +28,7 @@
     config.seed = read_seed(object.at("seed").get<std::string>());
     if (object.contains("limits")) config.sockets = object["limits"].value("sockets", config.sockets);
     if (object.contains("known")) config.known = read_host_list(object["known"]);
-    config.settings = chalkspread::wire::read_settings(object.at("settings"), config.class_names);
+    config.settings = woadtide::wire::read_settings(object.at("settings"), config.class_names);
     check(config.settings);
     return config;
   } catch (const nlohmann::json::exception& wrong) {
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "chalkspread/balance.hpp"
 #include "core/host_list.hpp"
+#include "woadtide/balance.hpp"
 
 namespace woadtide::core {
 
@@ -16,7 +16,7 @@
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   HostList known;
-  chalkspread::Settings settings;
+  woadtide::Settings settings;
   std::vector<std::string> class_names;
 };
 
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -8,13 +8,13 @@
 
 namespace woadtide::core {
 
-using chalkspread::Status;
+using woadtide::Status;
 
 namespace {
 constexpr double kCountsEvery = 10'000;  // gap between two lines of figures in the log
 }
 
-DecisionLoop::DecisionLoop(chalkspread::Settings settings, std::vector<std::string> class_names,
+DecisionLoop::DecisionLoop(woadtide::Settings settings, std::vector<std::string> class_names,
                            std::uint64_t seed, Clock& clock, Inbox& inbox, Executor& executor,
                            HostSource& hosts)
     : class_names_(std::move(class_names)),
@@ -43,7 +43,7 @@
     const Timer timer = std::move(timers_.begin()->second);
     timers_.erase(timers_.begin());
     if (timer.attempt == kToken)
-      feed(chalkspread::TimerFired{timer.name});
+      feed(woadtide::TimerFired{timer.name});
     else if (timer.attempt == kWholeQuery)
       on_deadline(timer.name);
     else
@@ -67,7 +67,7 @@
   }
   queries_.emplace(query.id, Open{std::move(message.asker), std::move(query.parcel), query.deadline, {}});
   timers_.emplace(query.deadline, Timer{query.id, kWholeQuery});
-  chalkspread::Request request;
+  woadtide::Request request;
   request.id = query.id;
   request.class_index = static_cast<std::size_t>(name - class_names_.begin());
   request.slots = query.slots;
@@ -81,16 +81,16 @@
   if (found == queries_.end() || !found->second.asker) return;
   counts_.gone += 1;
   found->second.asker.reset();
-  feed(chalkspread::RequestGone{message.query});
+  feed(woadtide::RequestGone{message.query});
   drop_if_over(message.query);
 }
 
 void DecisionLoop::take(ExecutionStarted& message) {
-  feed(chalkspread::JobStarted{message.key.query, message.key.attempt});
+  feed(woadtide::JobStarted{message.key.query, message.key.attempt});
 }
 
 void DecisionLoop::take(ExecutionProgress& message) {
-  feed(chalkspread::JobProgress{message.key.query, message.key.attempt});
+  feed(woadtide::JobProgress{message.key.query, message.key.attempt});
 }
 
 void DecisionLoop::take(ExecutionEnded& message) {
@@ -104,7 +104,7 @@
 }
 
 void DecisionLoop::take(ProbeEnded& message) {
-  feed(chalkspread::ProbeResult{message.worker, message.status, message.load});
+  feed(woadtide::ProbeResult{message.worker, message.status, message.load});
 }
 
 void DecisionLoop::take(ListTold& message) { feed(message.update); }
@@ -116,7 +116,7 @@
   if (!unsettled.empty()) log_line("end: " + std::to_string(unsettled.size()) + " queries failed unfinished");
   for (const std::string& id : unsettled) {
     settle(queries_.at(id), {AnswerKind::failed, {}});
-    feed(chalkspread::RequestGone{id});
+    feed(woadtide::RequestGone{id});
     drop_if_over(id);
   }
 }
@@ -125,19 +125,18 @@
 
 // What the module wants --------------------------------------------------------------------------------
 
-void DecisionLoop::feed(const chalkspread::Event& event) {
-  std::vector<chalkspread::Action> actions;
+void DecisionLoop::feed(const woadtide::Event& event) {
+  std::vector<woadtide::Action> actions;
   try {
     dispatcher_.handle(to_micros(clock_.now()), event, actions);
   } catch (const std::exception& broken) {
     // A query that the module drops by this still gets its answer, at its deadline.
     log_line(std::string("module: ") + broken.what());
   }
-  for (const chalkspread::Action& action : actions)
-    std::visit([this](const auto& todo) { act(todo); }, action);
+  for (const woadtide::Action& action : actions) std::visit([this](const auto& todo) { act(todo); }, action);
 }
 
-void DecisionLoop::act(const chalkspread::Send& action) {
+void DecisionLoop::act(const woadtide::Send& action) {
   const auto found = queries_.find(action.id);
   if (found == queries_.end()) return;
   Open& open = found->second;
@@ -150,14 +149,14 @@
   executor_.start({key, action.worker, open.parcel, open.deadline});
 }
 
-void DecisionLoop::act(const chalkspread::Refuse& action) {
+void DecisionLoop::act(const woadtide::Refuse& action) {
   const auto found = queries_.find(action.id);
   if (found == queries_.end()) return;
   settle(found->second, {AnswerKind::refused, {}, to_ms(action.retry_after)});
   drop_if_over(action.id);
 }
 
-void DecisionLoop::act(const chalkspread::Fail& action) {
+void DecisionLoop::act(const woadtide::Fail& action) {
   const auto found = queries_.find(action.id);
   if (found == queries_.end()) return;
   const bool late = clock_.now() >= found->second.deadline;
@@ -165,13 +164,13 @@
   drop_if_over(action.id);
 }
 
-void DecisionLoop::act(const chalkspread::Cancel& action) { executor_.cancel({action.id, action.attempt}); }
-void DecisionLoop::act(const chalkspread::Probe& action) { executor_.probe(action.worker); }
-void DecisionLoop::act(const chalkspread::Watch&) { hosts_.watch(); }
-void DecisionLoop::act(const chalkspread::SetTimer& action) {
+void DecisionLoop::act(const woadtide::Cancel& action) { executor_.cancel({action.id, action.attempt}); }
+void DecisionLoop::act(const woadtide::Probe& action) { executor_.probe(action.worker); }
+void DecisionLoop::act(const woadtide::Watch&) { hosts_.watch(); }
+void DecisionLoop::act(const woadtide::SetTimer& action) {
   timers_.emplace(to_ms(action.at), Timer{action.token, kToken});
 }
-void DecisionLoop::act(const chalkspread::Log& action) { log_line("module: " + action.text); }
+void DecisionLoop::act(const woadtide::Log& action) { log_line("module: " + action.text); }
 
 // Endings ----------------------------------------------------------------------------------------------
 
@@ -191,7 +190,7 @@
   if (place >= open.executions.size() || !open.executions[place].out) return;
   open.executions[place].out = false;
   if (status != Status::ok) counts_.failures += 1;
-  chalkspread::Outcome outcome;
+  woadtide::Outcome outcome;
   outcome.id = key.query;
   outcome.attempt = key.attempt;
   outcome.status = status;
@@ -219,7 +218,7 @@
   // The module should have answered by now. Whatever held it up, the client is owed an answer.
   log_line("module: no answer for a query at its deadline");
   settle(still->second, {AnswerKind::timed_out, {}});
-  feed(chalkspread::RequestGone{id});
+  feed(woadtide::RequestGone{id});
   drop_if_over(id);
 }
 
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -7,16 +7,16 @@
 #include <string>
 #include <vector>
 
-#include "chalkspread/balance.hpp"
 #include "core/clock.hpp"
 #include "core/inbox.hpp"
 #include "core/query.hpp"
+#include "woadtide/balance.hpp"
 
 namespace woadtide::core {
 
 class DecisionLoop {
  public:
-  DecisionLoop(chalkspread::Settings settings, std::vector<std::string> class_names, std::uint64_t seed,
+  DecisionLoop(woadtide::Settings settings, std::vector<std::string> class_names, std::uint64_t seed,
                Clock& clock, Inbox& inbox, Executor& executor, HostSource& hosts);
 
   // Until a Stop comes.
@@ -56,18 +56,18 @@
   void take(FinishAll& message);
   void take(Stop& message);
 
-  void act(const chalkspread::Send& action);
-  void act(const chalkspread::Refuse& action);
-  void act(const chalkspread::Fail& action);
-  void act(const chalkspread::Cancel& action);
-  void act(const chalkspread::Probe& action);
-  void act(const chalkspread::Watch& action);
-  void act(const chalkspread::SetTimer& action);
-  void act(const chalkspread::Log& action);
+  void act(const woadtide::Send& action);
+  void act(const woadtide::Refuse& action);
+  void act(const woadtide::Fail& action);
+  void act(const woadtide::Cancel& action);
+  void act(const woadtide::Probe& action);
+  void act(const woadtide::Watch& action);
+  void act(const woadtide::SetTimer& action);
+  void act(const woadtide::Log& action);
 
-  void feed(const chalkspread::Event& event);
+  void feed(const woadtide::Event& event);
   void settle(Open& open, Answer answer);
-  void end(const ExecutionKey& key, chalkspread::Status status);
+  void end(const ExecutionKey& key, woadtide::Status status);
   void time_out(const ExecutionKey& key);
   void on_deadline(const std::string& id);
   void drop_if_over(const std::string& id);
@@ -75,7 +75,7 @@
   void report_counts();
 
   std::vector<std::string> class_names_;
-  chalkspread::Dispatcher dispatcher_;
+  woadtide::Dispatcher dispatcher_;
   Clock& clock_;
   Inbox& inbox_;
   Executor& executor_;
--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -7,7 +7,7 @@
 
 namespace woadtide::core {
 
-using chalkspread::WorkerState;
+using woadtide::WorkerState;
 
 namespace {
 
--- a/src/core/host_list.hpp
+++ b/src/core/host_list.hpp
@@ -6,12 +6,12 @@
 #include <string>
 #include <vector>
 
-#include "chalkspread/balance.hpp"
+#include "woadtide/balance.hpp"
 
 namespace woadtide::core {
 
 struct Host {
-  chalkspread::ListEntry entry;
+  woadtide::ListEntry entry;
   std::string dial;  // host:port, as this dispatcher reaches it
 };
 
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -29,16 +29,16 @@
 };
 struct ExecutionEnded {
   ExecutionKey key;
-  chalkspread::Status status = chalkspread::Status::error;
+  woadtide::Status status = woadtide::Status::error;
   std::string result;  // with Status::ok
 };
 struct ProbeEnded {
   std::string worker;
-  chalkspread::Status status = chalkspread::Status::error;
-  std::optional<chalkspread::LoadReport> load;
+  woadtide::Status status = woadtide::Status::error;
+  std::optional<woadtide::LoadReport> load;
 };
 struct ListTold {
-  chalkspread::ListUpdate update;
+  woadtide::ListUpdate update;
 };
 struct FinishAll {};  // the process is about to end: what is still open is answered now
 struct Stop {};       // ends DecisionLoop::run
--- a/src/core/query.hpp
+++ b/src/core/query.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "chalkspread/balance.hpp"
+#include "woadtide/balance.hpp"
 
 namespace woadtide::core {
 
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -8,8 +8,8 @@
 
 namespace woadtide::net {
 
-using chalkspread::ListKind;
-using chalkspread::WorkerState;
+using woadtide::ListKind;
+using woadtide::WorkerState;
 
 HostGroup::HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
                      core::Inbox& inbox, BufferPool& pool)
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -25,7 +25,7 @@
   struct Known {
     Address address;
     std::string dial;
-    chalkspread::WorkerState state = chalkspread::WorkerState::gone;
+    woadtide::WorkerState state = woadtide::WorkerState::gone;
   };
 
   // The remembered list goes to the Inbox at once.
@@ -43,7 +43,7 @@
  private:
   void run();
   void follow();
-  void apply(const core::HostList& list, chalkspread::ListKind kind);
+  void apply(const core::HostList& list, woadtide::ListKind kind);
 
   const std::string discovery_;
   const Address address_;
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -9,7 +9,7 @@
 
 namespace woadtide::net {
 
-using chalkspread::Status;
+using woadtide::Status;
 
 namespace {
 
@@ -205,7 +205,7 @@
   }
   // The connect may have outlived a drain notice, and nothing new may go to a worker that drains.
   const auto host = hosts_.find(execution.worker);
-  if (!host || host->state != chalkspread::WorkerState::ready) return broken(link, Status::connect_failed);
+  if (!host || host->state != woadtide::WorkerState::ready) return broken(link, Status::connect_failed);
   const std::string head = head_for(execution, task.host.dial, execution.deadline - clock_.now());
   const Io sent = link.socket.send(head, execution.parcel.body, execution.deadline + kBackstopMs, clock_);
   if (sent != Io::done) return broken(link, Status::connect_failed);
--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -43,9 +43,9 @@
     HostGroup::Known host;
   };
   struct Ending {
-    chalkspread::Status status = chalkspread::Status::error;
+    woadtide::Status status = woadtide::Status::error;
     std::string result = {};
-    std::optional<chalkspread::LoadReport> load = {};
+    std::optional<woadtide::LoadReport> load = {};
   };
   struct Link {
     std::string worker, dial;
@@ -67,7 +67,7 @@
   std::optional<Ending> hand_over(Link& link, const Task& task);
   Ending await(Link& link, const Task& task, Intake& intake, std::optional<LineReader>& lines);
   Ending await_lines(Link& link, const Task& task, LineReader& lines);
-  Ending broken(Link& link, chalkspread::Status otherwise);
+  Ending broken(Link& link, woadtide::Status otherwise);
   void report(const Task& task, Ending ending);
   bool is_cancelled(Link& link);
   void set_idle(Link& link, bool reusable);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -20,13 +20,13 @@
 constexpr double kFinishMs = 300;  // then all must be answered: leaves 0.4 s to write and to end
 constexpr double kLastAnswersMs = 150;
 
-double longest_deadline(const chalkspread::Settings& settings) {
+double longest_deadline(const woadtide::Settings& settings) {
   double longest = 0;
   for (const auto& kind : settings.classes) longest = std::max(longest, core::to_ms(kind.deadline));
   return longest;
 }
 
-net::ServerLinks::Limits server_limits(const chalkspread::Settings& settings, const Budget& budget) {
+net::ServerLinks::Limits server_limits(const woadtide::Settings& settings, const Budget& budget) {
   net::ServerLinks::Limits limits;
   limits.most = budget.server_links;
   if (settings.connect_timeout.count() > 0) limits.connect_ms = core::to_ms(settings.connect_timeout);
--- a/src/numbers.hpp
+++ b/src/numbers.hpp
@@ -5,9 +5,9 @@
 #include <cstdint>
 #include <string>
 
-#include "chalkspread/balance.hpp"
+#include "woadtide/balance.hpp"
 
-namespace chalkspread {
+namespace woadtide {
 
 inline double seconds(Micros span) { return std::chrono::duration<double>(span).count(); }
 inline Micros seconds_span(double span) { return Micros{static_cast<std::int64_t>(span * 1e6)}; }
@@ -25,4 +25,4 @@
   return hash;
 }
 
-}  // namespace chalkspread
+}  // namespace woadtide
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,9 +1,9 @@
 // Refuses settings that cannot be right; nothing is decided here.
 #include <stdexcept>
 
-#include "chalkspread/balance.hpp"
+#include "woadtide/balance.hpp"
 
-namespace chalkspread {
+namespace woadtide {
 
 void check(const Settings& settings) {
   const auto require = [](bool holds, const char* setting) {
@@ -24,4 +24,4 @@
   }
 }
 
-}  // namespace chalkspread
+}  // namespace woadtide
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -4,7 +4,7 @@
 
 #include "wire.hpp"
 
-namespace chalkspread::wire {
+namespace woadtide::wire {
 namespace {
 
 using nlohmann::json;
@@ -168,4 +168,4 @@
 }
 
 }  // namespace
-}  // namespace chalkspread::wire
+}  // namespace woadtide::wire
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "chalkspread/balance.hpp"
+#include "woadtide/balance.hpp"
 
-namespace chalkspread {
+namespace woadtide {
 
 using namespace std::chrono_literals;
 
@@ -141,4 +141,4 @@
   }
 };
 
-}  // namespace chalkspread
+}  // namespace woadtide
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -3,7 +3,7 @@
 
 #include "harness.hpp"
 
-namespace chalkspread {
+namespace woadtide {
 namespace {
 
 // How many jobs of one slot a single worker is given before the first refusal.
@@ -431,4 +431,4 @@
 }
 
 }  // namespace
-}  // namespace chalkspread
+}  // namespace woadtide
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -4,7 +4,7 @@
 
 #include "harness.hpp"
 
-namespace chalkspread {
+namespace woadtide {
 namespace {
 
 TEST(Answer, ProvenNotRunMovesOnAtOnce) {
@@ -386,4 +386,4 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomEvents, ::testing::Range(1, 41));
 
 }  // namespace
-}  // namespace chalkspread
+}  // namespace woadtide
