Test the dispatcher by stories over loopback; end at once when stopped

24 doctest cases in ctest beside the inherited tests: the loop stepped by hand under a set clock, and whole dispatchers against scripted workers, discovery and clients.

Seen while writing them: each test's dispatcher took 2.15 s to end. Ruled out the link threads and the watch (all wake by shutdown); the module's first timer is due then. At fault: DecisionLoop::run waited for the next timer once more after the Stop (decision_loop.cpp, while (!stopped_) inbox_.wait(step())). After SIGTERM that could have cost up to 10 s, past SIGKILL.

--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -26,7 +26,7 @@
       counted_since_(clock.now()) {}
 
 void DecisionLoop::run() {
-  while (!stopped_) inbox_.wait(step());
+  for (double next = step(); !stopped_; next = step()) inbox_.wait(next);
 }
 
 double DecisionLoop::step() {
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -12,8 +12,13 @@
 using woadtide::WorkerState;
 
 HostGroup::HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
-                     core::Inbox& inbox, BufferPool& pool)
-    : discovery_(discovery), address_(discovery), clock_(clock), inbox_(inbox), pool_(pool) {
+                     core::Inbox& inbox, BufferPool& pool, double silence_ms)
+    : discovery_(discovery),
+      address_(discovery),
+      clock_(clock),
+      inbox_(inbox),
+      pool_(pool),
+      silence_ms_(silence_ms) {
   apply(remembered, ListKind::remembered);
   thread_ = Thread("host-group", [this] { run(); });
 }
@@ -73,11 +78,11 @@
             " HTTP/1.1\r\nHost: " + discovery_ + "\r\n\r\n";
   }
   if (!socket_.connect(address_, kConnectMs)) throw std::runtime_error("could not connect");
-  if (socket_.send(query, {}, clock_.now() + kSilenceMs, clock_) != Io::done)
+  if (socket_.send(query, {}, clock_.now() + silence_ms_, clock_) != Io::done)
     throw std::runtime_error("broke while it was opened");
   Intake intake(socket_, clock_, pool_.take());
   Io why = Io::done;
-  const auto length = intake.head(clock_.now() + kSilenceMs, why);
+  const auto length = intake.head(clock_.now() + silence_ms_, why);
   if (!length) throw std::runtime_error(why == Io::late ? "no answer" : "ended before an answer");
   const Head head = read_answer_head(intake.view().substr(0, *length));
   if (head.status != 200) throw std::runtime_error("discovery answered " + std::to_string(head.status));
@@ -86,7 +91,7 @@
   LineReader lines(intake, framing);
   std::string line;
   for (bool first = true;; first = false) {
-    switch (lines.next(line, clock_.now() + kSilenceMs)) {
+    switch (lines.next(line, clock_.now() + silence_ms_)) {
       case LineReader::Got::line:
         break;
       case LineReader::Got::late:
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -30,7 +30,7 @@
 
   // The remembered list goes to the Inbox at once.
   HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
-            core::Inbox& inbox, BufferPool& pool);
+            core::Inbox& inbox, BufferPool& pool, double silence_ms = kSilenceMs);
   ~HostGroup() override;
   HostGroup(const HostGroup&) = delete;
   HostGroup& operator=(const HostGroup&) = delete;
@@ -50,6 +50,7 @@
   core::Clock& clock_;
   core::Inbox& inbox_;
   BufferPool& pool_;
+  const double silence_ms_;
   mutable std::mutex mutex_;
   std::condition_variable wanted_changed_;
   bool wanted_ = false, following_ = false, stopping_ = false;
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,166 @@
+// The decision loop without sockets or threads: stepped by hand under a set clock.
+#include "node_harness.hpp"
+
+namespace woadtide::core {
+namespace {
+
+struct Paper : Executor, HostSource {
+  void start(Execution execution) override { started.push_back(std::move(execution)); }
+  void cancel(const ExecutionKey& key) override { cancelled.push_back(key); }
+  void probe(const std::string&) override {}
+  void watch() override { watches += 1; }
+  std::vector<Execution> started;
+  std::vector<ExecutionKey> cancelled;
+  int watches = 0;
+};
+
+struct Ear : Asker {
+  void answer(Answer answer) override { heard.push_back(std::move(answer)); }
+  std::vector<Answer> heard;
+};
+
+struct Desk {
+  explicit Desk(int workers) {
+    Hosts hosts;
+    for (int i = 0; i < workers; ++i) hosts.push_back(host_json("w" + std::to_string(i), "127.0.0.1:1"));
+    Config config = read_config(config_json(hosts, "127.0.0.1:1"));
+    clock.set(kNow);
+    loop.emplace(config.settings, config.class_names, config.seed, clock, inbox, paper, paper);
+    ListTold told{{ListKind::remembered, {}}};
+    for (const Host& host : config.known.hosts) told.update.entries.push_back(host.entry);
+    say(told);
+  }
+  void say(Message message) {
+    inbox.put(std::move(message));
+    loop->step();
+  }
+  std::shared_ptr<Ear> ask(const std::string& id, const std::string& kind, double budget = 5'000) {
+    auto ear = std::make_shared<Ear>();
+    Query query;
+    query.id = id;
+    query.class_name = kind;
+    query.deadline = clock.now() + budget;
+    say(QueryArrived{std::move(query), ear});
+    return ear;
+  }
+  void end(int started, Status status, const std::string& result = "") {
+    say(ExecutionEnded{paper.started.at(static_cast<std::size_t>(started)).key, status, result});
+  }
+  void pass(double ms) {
+    clock.set(clock.now() + ms);
+    loop->step();
+  }
+
+  Clock clock;
+  Inbox inbox;
+  Paper paper;
+  std::optional<DecisionLoop> loop;
+};
+
+TEST_CASE("a query is answered with the first result, once") {
+  Desk desk(1);
+  const auto ear = desk.ask("q", "receipt-check");
+  REQUIRE(desk.paper.started.size() == 1);
+  desk.end(0, Status::ok, "paid");
+  desk.end(0, Status::ok, "again");
+  REQUIRE(ear->heard.size() == 1);
+  CHECK(ear->heard[0].kind == AnswerKind::served);
+  CHECK(ear->heard[0].body == "paid");
+}
+
+TEST_CASE(
+    "at the client's deadline the execution is given up, the answer goes out, a late result is dropped") {
+  Desk desk(2);
+  const auto ear = desk.ask("q", "refund-payout", 3'000);
+  desk.pass(2'999);
+  CHECK(ear->heard.empty());
+  desk.pass(1);
+  REQUIRE(ear->heard.size() == 1);
+  CHECK(ear->heard[0].kind == AnswerKind::timed_out);
+  CHECK(desk.paper.cancelled.size() == 1);
+  desk.end(0, Status::ok, "late");
+  CHECK(ear->heard.size() == 1);
+  CHECK(desk.paper.started.size() == 1);
+}
+
+TEST_CASE("a payout that may have run is never sent again; one that never ran is") {
+  Desk desk(2);
+  const auto unsure = desk.ask("a", "refund-payout");
+  desk.end(0, Status::reset);
+  REQUIRE(unsure->heard.size() == 1);
+  CHECK(unsure->heard[0].kind == AnswerKind::failed);
+  CHECK(desk.paper.started.size() == 1);
+
+  const auto sure = desk.ask("b", "refund-payout");
+  desk.end(1, Status::connect_failed);
+  CHECK(sure->heard.empty());
+  REQUIRE(desk.paper.started.size() == 3);
+  CHECK(desk.paper.started[1].worker != desk.paper.started[2].worker);
+}
+
+TEST_CASE("after the client has gone nothing is answered, and the outcome still reaches the module") {
+  Desk desk(1);
+  const auto ear = desk.ask("q", "receipt-check");
+  desk.say(ClientGone{"q"});
+  desk.end(0, Status::ok, "unheard");
+  CHECK(ear->heard.empty());
+  // Had the module not heard of it, its slot at the one worker would still be taken.
+  for (int i = 0; i < 2; ++i) desk.ask("next" + std::to_string(i), "receipt-check");
+  CHECK(desk.paper.started.size() == 3);
+}
+
+TEST_CASE("a refusal goes out at once and says when to come back") {
+  Desk desk(0);
+  const auto ear = desk.ask("q", "refund-payout");
+  REQUIRE(ear->heard.size() == 1);
+  CHECK(ear->heard[0].kind == AnswerKind::refused);
+  CHECK(ear->heard[0].retry_after_ms > 0);
+  CHECK(ear->heard[0].retry_after_ms <= 2'000);
+}
+
+TEST_CASE("an unknown class and an id that is in work are no queries") {
+  Desk desk(1);
+  CHECK(desk.ask("q", "no-such").get()->heard.at(0).kind == AnswerKind::bad_query);
+  desk.ask("p", "refund-payout");
+  CHECK(desk.ask("p", "refund-payout")->heard.at(0).kind == AnswerKind::bad_query);
+  CHECK(desk.paper.started.size() == 1);
+}
+
+TEST_CASE("a watch that failed is asked for again, by the module") {
+  Desk desk(1);
+  CHECK(desk.paper.watches == 1);
+  desk.say(ListTold{{ListKind::failed, {}}});
+  CHECK(desk.paper.watches == 1);
+  desk.pass(700);
+  CHECK(desk.paper.watches == 2);
+}
+
+TEST_CASE("what is unfinished when the process must end is answered") {
+  Desk desk(1);
+  const auto ear = desk.ask("q", "receipt-check");
+  desk.say(FinishAll{});
+  REQUIRE(ear->heard.size() == 1);
+  CHECK(ear->heard[0].kind == AnswerKind::failed);
+}
+
+TEST_CASE("a config that cannot be right is told in one line") {
+  const auto told = [](const char* path, const nlohmann::json& value) {
+    nlohmann::json object = config_json({}, "127.0.0.1:1");
+    object[nlohmann::json::json_pointer(path)] = value;
+    try {
+      read_config(object);
+    } catch (const std::runtime_error& wrong) {
+      return std::string(wrong.what());
+    }
+    return std::string();
+  };
+  CHECK(told("/name", "n1") == "");
+  CHECK(told("/seed", "x").find("seed") != std::string::npos);
+  CHECK(told("/listen", 5) != "");
+  CHECK(told("/settings/Balancers", 0).find("dispatchers") != std::string::npos);
+  CHECK(told("/settings/Categories", 7).find("Categories") != std::string::npos);
+  CHECK(told("/known/hosts", {{{"host", "w"}}}).find("host list") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace woadtide::core
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,356 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <thread>
+
+#include "net/http.hpp"
+#include "node_harness.hpp"
+
+namespace woadtide::net {
+namespace {
+
+using woadtide::ListKind;
+using woadtide::Status;
+
+bool starts(const std::string& text, const std::string& with) { return text.rfind(with, 0) == 0; }
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+// Parsers
+// ----------------------------------------------------------------------------------------------------
+
+TEST_CASE("heads that could be read in two ways are refused") {
+  const auto status = [](const std::string& fields, const std::string& line = "POST /api HTTP/1.1") {
+    try {
+      const std::string raw = line + "\r\n" + fields + "\r\n";
+      framing_of_query(read_query_head(std::string_view(raw).substr(0, head_length(raw))));
+      return 200;
+    } catch (const BadMessage& bad) {
+      return bad.status;
+    }
+  };
+  CHECK(status("Content-Length: 5\r\n") == 200);
+  CHECK(status("content-length:5\r\nX-A:  b \r\n") == 200);
+  CHECK(status("Content-Length: 5\r\nContent-Length: 6\r\n") == 400);
+  CHECK(status("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") == 400);
+  CHECK(status("Transfer-Encoding: gzip\r\n") == 400);
+  CHECK(status("Content-Length: -1\r\n") == 400);
+  CHECK(status("Content-Length: 65537\r\n") == 413);
+  CHECK(status("No colon here\r\n") == 400);
+  CHECK(status("X-A : b\r\n") == 400);
+  CHECK(status("X-A: a\nX-B: b\r\n") == 400);
+  CHECK(status("", "POST /api") == 400);
+  CHECK(status("", "POST api HTTP/1.1") == 400);
+  CHECK(status("", "POST /api HTTP/2.0") == 400);
+  CHECK(status(std::string(9'000, 'x') + "\r\n") == 431);
+}
+
+TEST_CASE("a chunked body is the same in one piece and byte by byte") {
+  const std::string raw = "3;x=y\r\nabc\r\n0A\r\n0123456789\r\n0\r\nTrailer: t\r\n\r\nrest";
+  const auto decode = [&raw](std::size_t step) {
+    BodyDecoder decoder(Framing{Framing::Kind::chunked, 0, false});
+    std::string body;
+    std::size_t used = 0;
+    while (!decoder.over())
+      used += decoder.feed(std::string_view(raw).substr(used, step), [&](auto piece) { body += piece; });
+    return body + '|' + raw.substr(used);
+  };
+  CHECK(decode(raw.size()) == "abc0123456789|rest");
+  CHECK(decode(1) == decode(raw.size()));
+  BodyDecoder decoder(Framing{Framing::Kind::chunked, 0, false});
+  CHECK_THROWS_AS(decoder.feed("zz\r\n", [](auto) {}), BadMessage);
+}
+
+// Whole dispatchers
+// ------------------------------------------------------------------------------------------
+
+TEST_CASE("a query reaches the worker as it was, and the next one uses the same server link") {
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())});
+  Peer client = served.client();
+  client.write(query_text("aa01", "refund-payout"));
+  Peer link = worker.accept();
+  for (const std::string id : {"aa01", "aa02"}) {
+    const std::string came = link.message();
+    CHECK(starts(came, "POST /api?user=7f HTTP/1.1\r\n"));
+    CHECK(has(came, "X-Call-Id: " + id + "\r\n"));
+    CHECK(has(came, "X-Budget: 5000m\r\n"));
+    CHECK(came.ends_with("\r\n\r\npay"));
+    link.write(done(id, "ok " + id));
+    const std::string answer = client.message();
+    CHECK(starts(answer, "HTTP/1.1 200 "));
+    CHECK(answer.ends_with("\r\n\r\nok " + id));
+    if (id == "aa01") client.write(query_text("aa02", "receipt-check"));
+  }
+}
+
+TEST_CASE("a chunked query with its body in pieces is passed on whole") {
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())});
+  Peer client = served.client();
+  client.write("POST /api HTTP/1.1\r\nX-Call-Id: cc\r\nX-Call-Class: receipt-check\r\nX-Budget: 90000u\r\n");
+  client.write("Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  client.write("2\r\nde\r\n0\r\n\r\n");
+  Peer link = worker.accept();
+  const std::string came = link.message();
+  CHECK(has(came, "X-Budget: 90m\r\n"));
+  CHECK_FALSE(has(came, "Transfer-Encoding"));
+  CHECK(came.ends_with("Content-Length: 5\r\n\r\nabcde"));
+}
+
+// Guards PROTOCOL's table: which outcome each answer of a worker is, told by what the dispatcher does next.
+TEST_CASE("a payout fails after what may have run, and is refused after what never did") {
+  struct Case {
+    const char* what;
+    std::string answer;
+    const char* status;
+  };
+  const std::string id = "bb01";
+  const Case cases[] = {
+      {"failed", chunked({event(id, "failed")}), "502"},
+      {"500", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", "502"},
+      {"503 without the mark", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "502"},
+      {"lost", chunked({event(id, "started"), event(id, "lost")}), "502"},
+      {"cut short", chunked({event(id, "started")}), "502"},
+      {"whole, but without a last line", chunked({event(id, "started")}) + "0\r\n\r\n", "502"},
+      {"no answer", "", "502"},
+      {"not HTTP", "hello\r\n\r\n", "502"},
+      {"not JSON", chunked({"{"}), "502"},
+      {"another query's result", chunked({event("bb02", "done", R"(,"result":"x")")}), "502"},
+      {"a result that is no text", chunked({event(id, "done", R"(,"result":7)")}), "502"},
+      {"returned", chunked({event(id, "returned")}), "503"},
+      {"503 turned away", "HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", "503"},
+      {"504 turned away", "HTTP/1.1 504 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", "503"},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.what);
+    Port worker;
+    Served served(Hosts{host_json("w", worker.dial())});
+    Peer client = served.client();
+    client.write(query_text(id, "refund-payout"));
+    {
+      Peer link = worker.accept();
+      link.message();
+      if (*one.answer.data()) link.write(one.answer);
+    }
+    const std::string answer = client.message();
+    CHECK(starts(answer, std::string("HTTP/1.1 ") + one.status));
+    CHECK(has(answer, "Retry-After: 0.") == (std::string(one.status) == "503"));
+  }
+}
+
+TEST_CASE("a query whose worker refuses the link goes to the other one") {
+  Port live;
+  std::optional<Port> dead(std::in_place);
+  const std::string dial = dead->dial();
+  dead.reset();
+  Served served(Hosts{host_json("dead", dial), host_json("live", live.dial())});
+  for (const std::string id : {"dd01", "dd02", "dd03"}) {
+    Peer client = served.client();
+    client.write(query_text(id, "refund-payout"));
+    Peer link = live.accept();
+    link.message();
+    link.write(done(id, "ok"));
+    CHECK(starts(client.message(), "HTTP/1.1 200 "));
+  }
+}
+
+// Guards: a request written to a link that the worker had closed would end as a reset, and a payout fail.
+TEST_CASE("a server link that the worker closed while it was idle is not used again") {
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())});
+  for (const std::string id : {"ee01", "ee02"}) {
+    Peer client = served.client();
+    client.write(query_text(id, "refund-payout"));
+    Peer link = worker.accept();
+    link.message();
+    link.write(done(id, "ok"));
+    CHECK(starts(client.message(), "HTTP/1.1 200 "));
+  }
+}
+
+TEST_CASE("bad input is told so with a 4xx, and its link closed") {
+  Served served(Hosts{});
+  const std::string big(70'000, 'x');
+  const std::pair<std::string, const char*> cases[] = {
+      {"nonsense\r\n\r\n", "400"},
+      {"GET /nowhere HTTP/1.1\r\n\r\n", "404"},
+      {"PUT /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "404"},
+      {"DELETE /health/ready HTTP/1.1\r\n\r\n", "405"},
+      {query_text("ff", "no-such-class"), "400"},
+      {query_text("", "refund-payout"), "400"},
+      {query_text("ff", "refund-payout", big), "413"},
+      {"POST /api HTTP/1.1\r\nX-Call-Id: ff\r\nX-Call-Class: refund-payout\r\nX-Budget: soon\r\n\r\n", "400"},
+      {"POST /api HTTP/1.1\r\nX-A: " + big + "\r\n\r\n", "431"},
+      {"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + big + "\r\n0\r\n\r\n", "413"},
+  };
+  for (const auto& [text, status] : cases) {
+    CAPTURE(text.substr(0, 60));
+    Peer client = served.client();
+    client.write(text);
+    const std::string answer = client.message();
+    CHECK(starts(answer, std::string("HTTP/1.1 ") + status));
+    CHECK(has(answer, "Connection: close\r\n"));
+    client.socket.shut(SHUT_WR);
+    CHECK(client.closed());
+  }
+}
+
+TEST_CASE("at the edge the client link that stood idle gives way") {
+  core::Clock clock;
+  core::Inbox inbox;
+  BufferPool pool(8);
+  ClientSide side{clock, inbox, pool};
+  side.ready = true;
+  Socket listener = Socket::listen_at(Address("127.0.0.1:0"));
+  const int port = listener.port();
+  ClientLinks links(std::move(listener), 1, side);
+  const std::string ask = "GET /health/ready HTTP/1.1\r\n\r\n";
+  Peer first = Peer::to(port);
+  first.write(ask);
+  CHECK(starts(first.message(), "HTTP/1.1 200 "));
+  Peer second = Peer::to(port);
+  second.write(ask);
+  CHECK(starts(second.message(), "HTTP/1.1 200 "));
+  CHECK(first.closed());
+}
+
+TEST_CASE("links and buffers stay within the descriptors and the memory that are allowed") {
+  for (const std::size_t allowed : {256, 1024}) {
+    const Budget budget(allowed);
+    CHECK(2 * budget.client_links + budget.server_links + 50 < allowed);
+    const std::size_t threads = budget.client_links + budget.server_links;
+    CHECK(budget.buffers() * kBufferBytes + threads * Thread::kStackBytes < 160'000'000);
+  }
+}
+
+// Server links and the host group by themselves
+// -----------------------------------------------------------------
+
+struct Bench {
+  static constexpr double kSilence = 50;
+  explicit Bench(const char* health, std::size_t most = 8)
+      : hosts(discovery.dial(),
+              core::read_host_list(
+                  {{"seq", 1}, {"whole", true}, {"hosts", {host_json("w", worker.dial(), health)}}}),
+              standing(), inbox, pool, kSilence),
+        servers({most, 5'000, 5'000}, clock, inbox, hosts, pool) {
+    next();  // the remembered list
+  }
+  core::Clock& standing() {
+    clock.set(kNow);
+    return clock;
+  }
+  // The next message; while none comes, the clock goes on by `ms` at a time.
+  core::Message next(double ms = 0) {
+    for (int tries = 0; come.empty(); ++tries) {
+      inbox.wait(100);
+      come = inbox.take();
+      clock.set(clock.now() + ms);
+      REQUIRE_MESSAGE(tries < 100, "no message came");
+    }
+    core::Message message = std::move(come.front());
+    come.pop_front();
+    return message;
+  }
+  void start(const std::string& id) {
+    core::Execution execution;
+    execution.key = {id, 0};
+    execution.worker = "w";
+    execution.parcel = {nullptr, "POST", "/api", "X-Call-Id: 1\r\n", "pay"};
+    execution.deadline = kNow + 60'000;
+    servers.start(std::move(execution));
+  }
+  Status ending() { return std::get<core::ExecutionEnded>(next()).status; }
+
+  Port worker, discovery;
+  core::Clock clock;
+  core::Inbox inbox;
+  BufferPool pool{16};
+  std::deque<core::Message> come;
+  HostGroup hosts;
+  ServerLinks servers;
+};
+
+// Guards the rule on drains: a connect can outlive the notice.
+TEST_CASE("a worker that drains by the time the link is up gets no byte") {
+  Bench bench("Terminating");
+  bench.start("q");
+  CHECK(bench.ending() == Status::connect_failed);
+  CHECK(bench.worker.accept().closed());
+}
+
+TEST_CASE("a cancelled execution ends as cancelled and its link is closed") {
+  Bench bench("Ready");
+  bench.start("q");
+  Peer link = bench.worker.accept();
+  link.message();
+  bench.servers.cancel({"q", 0});
+  CHECK(bench.ending() == Status::cancelled);
+  CHECK(link.closed());
+}
+
+TEST_CASE("with all server links busy a further execution is not sent") {
+  Bench bench("Ready", 1);
+  bench.start("q");
+  Peer link = bench.worker.accept();
+  link.message();
+  bench.start("r");
+  CHECK(bench.ending() == Status::moot);
+  link.write(done("q", "ok"));
+  CHECK(std::holds_alternative<core::ExecutionStarted>(bench.next()));
+  CHECK(bench.ending() == Status::ok);
+}
+
+// Guards: a failed watch must reach the module, or drains go unheard.
+TEST_CASE("a watch that cannot be read, is refused, ends or falls silent has failed") {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string fine = chunked({R"({"seq":2,"whole":false,"hosts":[]})", ""});
+  struct Case {
+    std::string answer;
+    bool open, stays;
+  };
+  const Case cases[] = {{chunked({"{"}), false, true},
+                        {chunked({R"({"seq":2,"whole":true,"hosts":[{"host":"w"}]})"}), false, true},
+                        {"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n", false, true},
+                        {"", false, false},
+                        {fine, true, false},
+                        {fine + "0\r\n\r\n", true, true},
+                        {fine, true, true}};
+  for (const Case& one : cases) {
+    Bench bench("Ready");
+    bench.hosts.watch();
+    std::optional<Peer> link = bench.discovery.accept();
+    CHECK(starts(link->message(), "GET /registry/instances?follow=1&since=1 HTTP/1.1\r\n"));
+    if (!one.answer.empty()) link->write(one.answer);
+    if (one.open) CHECK(std::get<core::ListTold>(bench.next()).update.kind == ListKind::changes);
+    if (!one.stays) link.reset();
+    CHECK(std::get<core::ListTold>(bench.next(Bench::kSilence)).update.kind == ListKind::failed);
+    // Asked again, it goes on from the newest list it had.
+    bench.hosts.watch();
+    CHECK(has(bench.discovery.accept().message(), one.open ? "since=2 " : "since=1 "));
+  }
+}
+
+// Guards what SIGTERM must not lose: queries at work, and links that still come.
+TEST_CASE("at a planned end all that is taken is answered") {
+  Port worker, discovery;
+  core::Clock clock;
+  Node node(core::read_config(config_json(Hosts{host_json("w", worker.dial())}, discovery.dial())), clock);
+  Peer early = Peer::to(node.port()), idle = Peer::to(node.port());
+  early.write(query_text("a1", "refund-payout"));
+  Peer first = worker.accept();
+  first.message();
+  std::thread end([&node] { node.finish(); });
+  Peer late = Peer::to(node.port());
+  late.write(query_text("a2", "refund-payout"));
+  Peer second = worker.accept();
+  second.message();
+  CHECK(idle.closed());
+  first.write(done("a1", "one"));
+  second.write(done("a2", "two"));
+  CHECK(early.message().ends_with("\r\n\r\none"));
+  CHECK(late.message().ends_with("\r\n\r\ntwo"));
+  CHECK(early.closed());
+  end.join();
+}
+
+}  // namespace
+}  // namespace woadtide::net
