Keep a server link after a refusal with a body; budget links by memory too

Ruled out idle closing (0) and links closed under a request (0). At fault: ServerLinks::carry_out kept a link only if LineReader::finished() found no text left (server_links.cpp, http.cpp), so any answer with a body that is not 200 cost its link. The rest of a body is now skipped.

Also: the loop goes on after a message it cannot handle, since its end would leave every client waiting; lines that could come by the hundred are limited to one in 5 s; check-config looks at addresses; a failure of the machine's at the start exits 1, not 2; a small memory limit lowers the number of links; load reports, which the module does not read, are gone from the messages.

--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -26,7 +26,10 @@
     config.listen = object.at("listen").get<std::string>();
     config.discovery = object.at("discovery").get<std::string>();
     config.seed = read_seed(object.at("seed").get<std::string>());
-    if (object.contains("limits")) config.sockets = object["limits"].value("sockets", config.sockets);
+    if (const auto limits = object.find("limits"); limits != object.end()) {
+      config.sockets = limits->value("sockets", config.sockets);
+      config.memory_mb = limits->value("memory_mb", config.memory_mb);
+    }
     if (object.contains("known")) config.known = read_host_list(object["known"]);
     config.settings = woadtide::wire::read_settings(object.at("settings"), config.class_names);
     check(config.settings);
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -14,7 +14,7 @@
 struct Config {
   std::string name, listen, discovery;
   std::uint64_t seed = 0;
-  std::size_t sockets = 1024;
+  std::size_t sockets = 1024, memory_mb = 192;  // most that the process may hold
   HostList known;
   woadtide::Settings settings;
   std::vector<std::string> class_names;
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -31,13 +31,24 @@
 
 double DecisionLoop::step() {
   // Messages before timers: a result that has come beats a deadline that has passed meanwhile.
-  for (Message& message : inbox_.take()) std::visit([this](auto& came) { take(came); }, message);
-  fire_due();
+  for (Message& message : inbox_.take())
+    guarded([&] { std::visit([this](auto& came) { take(came); }, message); });
+  guarded([this] { fire_due(); });
   if (clock_.now() - counted_since_ >= kCountsEvery) report_counts();
   const double next = timers_.empty() ? kCountsEvery : timers_.begin()->first - clock_.now();
   return std::clamp(next, 0.0, kCountsEvery);
 }
 
+// Were the loop to end by an exception, every client would wait in vain. What one message could not do, the
+// deadline of its query makes good.
+void DecisionLoop::guarded(const std::function<void()>& work) {
+  try {
+    work();
+  } catch (const std::exception& broken) {
+    log_line(std::string("loop: ") + broken.what());
+  }
+}
+
 void DecisionLoop::fire_due() {
   while (!timers_.empty() && timers_.begin()->first <= clock_.now()) {
     const Timer timer = std::move(timers_.begin()->second);
@@ -104,7 +115,7 @@
 }
 
 void DecisionLoop::take(ProbeEnded& message) {
-  feed(woadtide::ProbeResult{message.worker, message.status, message.load});
+  feed(woadtide::ProbeResult{message.worker, message.status, std::nullopt});
 }
 
 void DecisionLoop::take(ListTold& message) { feed(message.update); }
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -71,6 +72,7 @@
   void time_out(const ExecutionKey& key);
   void on_deadline(const std::string& id);
   void drop_if_over(const std::string& id);
+  void guarded(const std::function<void()>& work);
   void fire_due();
   void report_counts();
 
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -35,7 +35,6 @@
 struct ProbeEnded {
   std::string worker;
   woadtide::Status status = woadtide::Status::error;
-  std::optional<woadtide::LoadReport> load;
 };
 struct ListTold {
   woadtide::ListUpdate update;
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -7,4 +7,17 @@
 
 void log_line(std::string_view text);
 
+// For lines that could come by the hundred, by one thread at a time: one in five seconds is enough.
+class Seldom {
+ public:
+  bool due(double now) {
+    if (now < next_) return false;
+    next_ = now + 5'000;
+    return true;
+  }
+
+ private:
+  double next_ = 0;
+};
+
 }  // namespace woadtide::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,8 @@
 #include <exception>
 #include <iostream>
 #include <stdexcept>
+#include <system_error>
+#include <utility>
 
 #include "core/config.hpp"
 #include "core/log.hpp"
@@ -20,7 +22,7 @@
 
 constexpr int kBadUse = 2;
 
-int serve(const std::string& path) {
+int serve(woadtide::core::Config config) {
   // Few arenas: with a thread for each link, one each would eat the memory limit.
   mallopt(M_ARENA_MAX, 2);
   // Before the first thread, so that all inherit it: the main thread alone waits for the end.
@@ -31,7 +33,6 @@
   pthread_sigmask(SIG_BLOCK, &ends, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
-  auto config = woadtide::core::load_config(path);
   rlimit descriptors{};
   if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0)
     config.sockets = std::min<std::size_t>(config.sockets, descriptors.rlim_cur);
@@ -73,8 +74,9 @@
   if (command != "serve" && command != "check-config")
     throw std::runtime_error("unknown command '" + command + "'");
   if (path.empty()) throw std::runtime_error("no config file: give --config or set ROUTER_CONFIG");
-  if (command == "serve") return serve(path);
-  woadtide::core::load_config(path);
+  auto config = woadtide::core::load_config(path);
+  woadtide::check_addresses(config);
+  if (command == "serve") return serve(std::move(config));
   std::cout << path << ": good\n";
   return 0;
 }
@@ -84,6 +86,9 @@
 int main(int argc, char** argv) {
   try {
     return run(argc, argv);
+  } catch (const std::system_error& failed) {  // the machine's word, at the start
+    std::cerr << "woadtide: " << failed.what() << std::endl;
+    return 1;
   } catch (const std::exception& wrong) {
     std::cerr << "woadtide: " << wrong.what() << std::endl;
     return kBadUse;
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -11,8 +11,6 @@
 #include <cerrno>
 #include <system_error>
 
-#include "core/log.hpp"
-
 namespace woadtide::net {
 
 namespace {
@@ -67,7 +65,7 @@
   if (!socket) {
     if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
       // Not expected inside the budget of links; the client waits in the machine's queue meanwhile.
-      core::log_line("acceptor: out of descriptors or memory");
+      if (no_room_.due(side_.clock.now())) core::log_line("acceptor: out of descriptors or memory");
       ::poll(nullptr, 0, kFullMs);
       return true;
     }
@@ -87,7 +85,7 @@
 
 // At the edge the links that stood idle longest go first. Where all have a query at work, new ones wait.
 void ClientLinks::make_room() {
-  for (bool told = false; open() >= most_; told = true) {
+  while (open() >= most_) {
     {
       const std::lock_guard lock(mutex_);
       ClientLink* oldest = nullptr;
@@ -98,7 +96,8 @@
       }
       if (oldest) oldest->close_if_idle();
     }
-    if (!told) core::log_line("acceptor: all " + std::to_string(most_) + " client links are open");
+    if (all_open_.due(side_.clock.now()))
+      core::log_line("acceptor: all " + std::to_string(most_) + " client links are open");
     ::poll(nullptr, 0, kFullMs);
     reap();
   }
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 
+#include "core/log.hpp"
 #include "net/client_link.hpp"
 #include "net/socket.hpp"
 #include "net/thread.hpp"
@@ -37,6 +38,7 @@
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::list<std::unique_ptr<ClientLink>> links_;
+  core::Seldom all_open_, no_room_;
   Thread thread_;  // last: it uses all the others
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -259,9 +259,16 @@
   }
 }
 
-bool LineReader::finished() {
+bool LineReader::skip() {
   absorb();
-  return decoder_.over() && pending_.empty();
+  pending_.clear();
+  return decoder_.over();
+}
+
+bool LineReader::skip_all(double deadline) {
+  while (!skip())
+    if (intake_.more(deadline) != Io::done) return false;
+  return true;
 }
 
 }  // namespace woadtide::net
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -99,8 +99,10 @@
   // Got::line: `line` holds the next one without its end, also where that is empty. Got::end: the body was
   // whole. Throws BadMessage, also for a line over kMostBody.
   Got next(std::string& line, double deadline);
-  // The body's end has come, or is seen to have come in what is here already.
-  bool finished();
+  // Drops what has come of the body. True when that was all of it: the link may carry the next message.
+  bool skip();
+  // The same, and waits for the rest.
+  bool skip_all(double deadline);
 
  private:
   void absorb();
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -5,8 +5,6 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-#include "core/log.hpp"
-
 namespace woadtide::net {
 
 using woadtide::Status;
@@ -121,7 +119,8 @@
   }
   if (open < limits_.most) return true;
   if (!oldest) {
-    core::log_line("server links: all " + std::to_string(limits_.most) + " are busy");
+    if (all_busy_.due(clock_.now()))
+      core::log_line("server links: all " + std::to_string(limits_.most) + " are busy");
     return false;
   }
   oldest->closing = true;
@@ -174,14 +173,13 @@
     sent = true;
     std::optional<LineReader> lines;
     Ending ending = await(link, task, intake, lines);
-    if (!lines || lines->finished()) {
+    if (!lines || lines->skip()) {
       // Free before the ending is told: the loop may have the next execution for this worker at once.
       set_idle(link, lines.has_value());
       return report(task, std::move(ending));
     }
     report(task, std::move(ending));
-    std::string rest;
-    set_idle(link, lines->next(rest, clock_.now() + kTailMs) == LineReader::Got::end);
+    set_idle(link, lines->skip_all(clock_.now() + kTailMs));
   } catch (const std::exception& failed) {
     // No descriptor or no memory, say. Once it was sent it may have run.
     core::log_line(std::string("server link: ") + failed.what());
@@ -283,7 +281,7 @@
 
 void ServerLinks::report(const Task& task, Ending ending) {
   if (task.probe)
-    inbox_.put(core::ProbeEnded{task.execution.worker, ending.status, ending.load});
+    inbox_.put(core::ProbeEnded{task.execution.worker, ending.status});
   else
     inbox_.put(core::ExecutionEnded{task.execution.key, ending.status, std::move(ending.result)});
 }
--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "core/inbox.hpp"
+#include "core/log.hpp"
 #include "core/query.hpp"
 #include "net/buffer_pool.hpp"
 #include "net/host_group.hpp"
@@ -45,7 +46,6 @@
   struct Ending {
     woadtide::Status status = woadtide::Status::error;
     std::string result = {};
-    std::optional<woadtide::LoadReport> load = {};
   };
   struct Link {
     std::string worker, dial;
@@ -79,6 +79,7 @@
   BufferPool& pool_;
   std::mutex mutex_;
   std::list<Link> links_;
+  core::Seldom all_busy_;  // under the mutex
 };
 
 }  // namespace woadtide::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -36,16 +36,25 @@
 
 }  // namespace
 
-Budget::Budget(std::size_t descriptors) {
+Budget::Budget(std::size_t descriptors, std::size_t memory_mb) {
   // A third each: a client link holds two, its socket and its wake-up.
   const std::size_t third = (std::max(descriptors, 2 * kOtherDescriptors) - kOtherDescriptors) / 3;
-  client_links = server_links = third;
+  // A link of each kind can hold three buffers and two stacks together; the rest of the program needs little.
+  constexpr std::size_t kPair = 3 * net::kBufferBytes + 2 * net::Thread::kStackBytes;
+  const std::size_t affordable = memory_mb * 1'000'000 / 100 * 85 / kPair;
+  client_links = server_links = std::max<std::size_t>(std::min(third, affordable), 1);
+}
+
+void check_addresses(const core::Config& config) {
+  net::Address(config.listen);
+  net::Address(config.discovery);
+  for (const core::Host& host : config.known.hosts) net::Address(host.dial);
 }
 
 Node::Node(core::Config config, core::Clock& clock)
     : clock_(clock),
       longest_ms_(longest_deadline(config.settings)),
-      budget_(config.sockets),
+      budget_(config.sockets, config.memory_mb),
       listener_(net::Socket::listen_at(net::Address(config.listen))),
       port_(listener_.port()),
       pool_(budget_.buffers()),
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -9,13 +9,16 @@
 
 namespace woadtide {
 
-// How the descriptors that the platform allows are shared out.
+// How the descriptors and the memory that the platform allows are shared out.
 struct Budget {
-  explicit Budget(std::size_t descriptors);
+  Budget(std::size_t descriptors, std::size_t memory_mb);
   std::size_t client_links, server_links;
   std::size_t buffers() const { return client_links + 2 * server_links; }
 };
 
+// Throws std::invalid_argument where an address in it cannot be one.
+void check_addresses(const core::Config& config);
+
 class Node {
  public:
   // Listens and serves from here on. Throws std::system_error where it cannot.
