Count a worker's result although the rest of its answer is malformed

Found by reading, shown by a new story: a done line followed by a bad chunk mark in the same packet ended as an error, so a payout that was made looked failed. At fault: LineReader::absorb threw for the whole packet before next() gave out the line (http.cpp), and ServerLinks::carry_out turned what skip() threw after a result into a reset (server_links.cpp). Now a line that came whole counts, and a malformed rest only spoils the link.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -227,8 +227,14 @@
   }
 }
 
+// A line that came whole counts, even where the bytes behind it, perhaps of the same packet, are malformed.
 void LineReader::absorb() {
-  intake_.use(decoder_.feed(intake_.view(), [this](std::string_view piece) { pending_.append(piece); }));
+  if (spoiled_) return;
+  try {
+    intake_.use(decoder_.feed(intake_.view(), [this](std::string_view piece) { pending_.append(piece); }));
+  } catch (const BadMessage& bad) {
+    spoiled_ = bad;
+  }
 }
 
 LineReader::Got LineReader::next(std::string& line, double deadline) {
@@ -240,6 +246,7 @@
       pending_.erase(0, end + 1);
       return Got::line;
     }
+    if (spoiled_) throw *spoiled_;
     if (pending_.size() > kMostBody) throw BadMessage(413, "line over 64 KiB");
     if (decoder_.over()) {
       if (pending_.empty()) return Got::end;
@@ -261,6 +268,7 @@
 
 bool LineReader::skip() {
   absorb();
+  if (spoiled_) throw *spoiled_;
   pending_.clear();
   return decoder_.over();
 }
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -110,6 +110,7 @@
   Intake& intake_;
   BodyDecoder decoder_;
   std::string pending_;
+  std::optional<BadMessage> spoiled_;
 };
 
 }  // namespace woadtide::net
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -173,13 +173,23 @@
     sent = true;
     std::optional<LineReader> lines;
     Ending ending = await(link, task, intake, lines);
-    if (!lines || lines->skip()) {
-      // Free before the ending is told: the loop may have the next execution for this worker at once.
-      set_idle(link, lines.has_value());
+    // A rest that is malformed spoils the link, not the result that came before it.
+    const auto rest_is_over = [&](double wait_ms) {
+      try {
+        return lines && (lines->skip() || lines->skip_all(clock_.now() + wait_ms));
+      } catch (const BadMessage&) {
+        lines.reset();
+        return false;
+      }
+    };
+    const bool kept = rest_is_over(0);
+    // Free before the ending is told: the loop may have the next execution for this worker at once.
+    if (kept || !lines) {
+      set_idle(link, kept);
       return report(task, std::move(ending));
     }
     report(task, std::move(ending));
-    set_idle(link, lines->skip_all(clock_.now() + kTailMs));
+    set_idle(link, rest_is_over(kTailMs));
   } catch (const std::exception& failed) {
     // No descriptor or no memory, say. Once it was sent it may have run.
     core::log_line(std::string("server link: ") + failed.what());
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -167,6 +167,21 @@
   }
 }
 
+// Guards: a payout that is done must not look failed because of what its worker wrote behind the result.
+TEST_CASE("a result counts though the body goes wrong behind it, and that link is not used again") {
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())});
+  for (const std::string id : {"ab01", "ab02"}) {
+    Peer client = served.client();
+    client.write(query_text(id, "refund-payout"));
+    Peer link = worker.accept();
+    link.message();
+    link.write(chunked({event(id, "done", R"(,"result":"ok")")}) + "zz\r\n");
+    CHECK(starts(client.message(), "HTTP/1.1 200 "));
+    CHECK(link.closed());
+  }
+}
+
 TEST_CASE("bad input is told so with a 4xx, and its link closed") {
   Served served(Hosts{});
   const std::string big(70'000, 'x');
