Reread the config on SIGHUP and move the watch to the new discovery at once

Checked: 129 is 128 + SIGHUP, and src/main.cpp blocked SIGTERM and SIGINT only, so the default action ended it. Now SIGHUP is blocked from the first line of main and waited for with the others; a bad file is one log line. HostGroup::move shuts the old watch and goes on at the new address without a failure that would start the module's backoff.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -22,15 +22,25 @@
 
 constexpr int kBadUse = 2;
 
-int serve(woadtide::core::Config config) {
+// A file that cannot be used changes nothing: the old config stays.
+void reload(woadtide::Node& node, const std::string& path) {
+  try {
+    const auto config = woadtide::core::load_config(path);
+    woadtide::check_addresses(config);
+    node.reload(config);
+  } catch (const std::exception& wrong) {
+    woadtide::core::log_line(std::string("reload: refused: ") + wrong.what());
+  }
+}
+
+int serve(woadtide::core::Config config, const std::string& path) {
   // Few arenas: with a thread for each link, one each would eat the memory limit.
   mallopt(M_ARENA_MAX, 2);
-  // Before the first thread, so that all inherit it: the main thread alone waits for the end.
-  sigset_t ends;
-  sigemptyset(&ends);
-  sigaddset(&ends, SIGTERM);
-  sigaddset(&ends, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+  // Before the first thread, so that all inherit it: the main thread alone waits for signals.
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int one : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&signals, one);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
   rlimit descriptors{};
@@ -38,8 +48,7 @@
     config.sockets = std::min<std::size_t>(config.sockets, descriptors.rlim_cur);
   woadtide::core::Clock clock;
   woadtide::Node node(std::move(config), clock);
-  int caught = 0;
-  sigwait(&ends, &caught);
+  for (int caught = 0; sigwait(&signals, &caught) == 0 && caught == SIGHUP;) reload(node, path);
   node.finish();
   return 0;
 }
@@ -76,7 +85,7 @@
   if (path.empty()) throw std::runtime_error("no config file: give --config or set ROUTER_CONFIG");
   auto config = woadtide::core::load_config(path);
   woadtide::check_addresses(config);
-  if (command == "serve") return serve(std::move(config));
+  if (command == "serve") return serve(std::move(config), path);
   std::cout << path << ": good\n";
   return 0;
 }
@@ -84,6 +93,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Before anything else: until it is waited for, a SIGHUP would end the program.
+  sigset_t hang_up;
+  sigemptyset(&hang_up);
+  sigaddset(&hang_up, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &hang_up, nullptr);
   try {
     return run(argc, argv);
   } catch (const std::system_error& failed) {  // the machine's word, at the start
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 #include "core/log.hpp"
 #include "net/http.hpp"
@@ -13,12 +14,12 @@
 
 HostGroup::HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
                      core::Inbox& inbox, BufferPool& pool, double silence_ms)
-    : discovery_(discovery),
-      address_(discovery),
-      clock_(clock),
+    : clock_(clock),
       inbox_(inbox),
       pool_(pool),
-      silence_ms_(silence_ms) {
+      silence_ms_(silence_ms),
+      discovery_(discovery),
+      address_(discovery) {
   apply(remembered, ListKind::remembered);
   thread_ = Thread("host-group", [this] { run(); });
 }
@@ -36,6 +37,19 @@
   wanted_changed_.notify_one();
 }
 
+void HostGroup::move(const std::string& discovery) {
+  const Address address(discovery);  // throws before anything is changed
+  const std::lock_guard lock(mutex_);
+  if (discovery == discovery_) return;
+  discovery_ = discovery;
+  address_ = address;
+  // One thread follows: what it has open is shut, and it goes on at the new address.
+  moved_ = following_;
+  wanted_ = true;
+  if (socket_) socket_.shut();
+  wanted_changed_.notify_one();
+}
+
 std::optional<HostGroup::Known> HostGroup::find(const std::string& worker) const {
   const std::lock_guard lock(mutex_);
   const auto found = hosts_.find(worker);
@@ -61,6 +75,10 @@
     socket_ = Socket{};
     following_ = wanted_ = false;
     if (stopping_) return;
+    if (std::exchange(moved_, false)) {
+      wanted_ = true;
+      continue;
+    }
     core::log_line("watch: failed: " + why);
     inbox_.put(core::ListTold{{ListKind::failed, {}}});
   }
@@ -68,16 +86,17 @@
 
 // Ends by an exception only: a watch lasts until something breaks it.
 void HostGroup::follow() {
-  Socket fresh = Socket::make(address_);
+  Address address;
   std::string query;
   {
     const std::lock_guard lock(mutex_);
-    if (stopping_) return;
-    socket_ = std::move(fresh);
+    if (stopping_ || moved_) return;
+    address = address_;
+    socket_ = Socket::make(address);
     query = "GET /registry/instances?follow=1&since=" + std::to_string(seq_) +
             " HTTP/1.1\r\nHost: " + discovery_ + "\r\n\r\n";
   }
-  if (!socket_.connect(address_, kConnectMs)) throw std::runtime_error("could not connect");
+  if (!socket_.connect(address, kConnectMs)) throw std::runtime_error("could not connect");
   if (socket_.send(query, {}, clock_.now() + silence_ms_, clock_) != Io::done)
     throw std::runtime_error("broke while it was opened");
   Intake intake(socket_, clock_, pool_.take());
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -37,6 +37,9 @@
 
   // While a watch is open or being opened this changes nothing: its outcome is the answer.
   void watch() override;
+  // Discovery has another address from here on. The watch goes there at once, and no failure is told: the
+  // module's retry backoff is for what is down, and drains would go unheard meanwhile.
+  void move(const std::string& discovery);
   // As the newest list has it; nullopt where it names no such worker.
   std::optional<Known> find(const std::string& worker) const;
 
@@ -45,15 +48,15 @@
   void follow();
   void apply(const core::HostList& list, woadtide::ListKind kind);
 
-  const std::string discovery_;
-  const Address address_;
   core::Clock& clock_;
   core::Inbox& inbox_;
   BufferPool& pool_;
   const double silence_ms_;
   mutable std::mutex mutex_;
   std::condition_variable wanted_changed_;
-  bool wanted_ = false, following_ = false, stopping_ = false;
+  std::string discovery_;
+  Address address_;
+  bool wanted_ = false, following_ = false, moved_ = false, stopping_ = false;
   std::int64_t seq_ = 0;
   std::map<std::string, Known> hosts_;
   Socket socket_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -71,6 +71,11 @@
                  std::to_string(budget_.server_links));
 }
 
+void Node::reload(const core::Config& config) {
+  hosts_.move(config.discovery);
+  core::log_line("reload: done, discovery at " + config.discovery);
+}
+
 void Node::finish() {
   const double told = clock_.now();
   const double last = told + std::min(longest_ms_, kMostDeadlineMs) + kFinishMs;
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -25,6 +25,9 @@
   Node(core::Config config, core::Clock& clock);
 
   int port() const { return port_; }
+  // A new config, on SIGHUP. Only discovery's address is taken over: all else was built upon at the start.
+  // Throws std::invalid_argument, with nothing changed, where it cannot be an address.
+  void reload(const core::Config& config);
   // The planned end, from SIGTERM on: answers all that was taken, then returns.
   void finish();
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -345,6 +345,28 @@
   }
 }
 
+// Guards: through the module's backoff, or after a failure told, drains would go unheard for seconds.
+TEST_CASE("at a new address of discovery the watch is open at once, and no failure is told") {
+  Bench bench("Ready");
+  bench.hosts.watch();
+  Peer old = bench.discovery.accept();
+  old.message();
+  Port second, third;
+  bench.hosts.move(second.dial());
+  CHECK(old.closed());
+  Peer link = second.accept();
+  CHECK(has(link.message(), "since=1 "));
+  CHECK_THROWS_AS(bench.hosts.move("nowhere"), std::invalid_argument);
+  bench.hosts.move(second.dial());  // nothing new: the watch stays
+  link.write(chunked({R"({"seq":2,"whole":false,"hosts":[]})"}));
+  CHECK(std::get<core::ListTold>(bench.next()).update.kind == ListKind::changes);
+  // Also where the last watch has failed and the module is still waiting.
+  link.socket.shut();
+  CHECK(std::get<core::ListTold>(bench.next()).update.kind == ListKind::failed);
+  bench.hosts.move(third.dial());
+  CHECK(has(third.accept().message(), "since=2 "));
+}
+
 // Guards what SIGTERM must not lose: queries at work, and links that still come.
 TEST_CASE("at a planned end all that is taken is answered") {
   Port worker, discovery;
