--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -2,6 +2,7 @@
 // and nowhere else.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cmath>
@@ -31,8 +32,11 @@
   std::atomic<double> held_{-1};
 };
 
+// What Micros cannot hold, or is no number, must not come out as a time in the past or as anything at all.
 inline woadtide::Micros to_micros(double ms) {
-  return woadtide::Micros{static_cast<std::int64_t>(std::llround(ms * 1000))};
+  constexpr double kMost = 4e18;  // two of them can be added
+  const double micros = std::isnan(ms) ? 0 : std::min(std::max(ms * 1000, -kMost), kMost);
+  return woadtide::Micros{static_cast<std::int64_t>(std::llround(micros))};
 }
 inline double to_ms(woadtide::Micros span) { return static_cast<double>(span.count()) / 1000; }
 
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -1,6 +1,7 @@
 #include "core/decision_loop.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 #include <utility>
 
@@ -68,11 +69,7 @@
   Query& query = message.query;
   counts_.queries += 1;
   const auto name = std::find(class_names_.begin(), class_names_.end(), query.class_name);
-  const char* wrong = nullptr;
-  if (name == class_names_.end()) wrong = "unknown class";
-  // The module would not answer a second query of the same id, and a worker could run it twice.
-  if (queries_.contains(query.id)) wrong = "this id is in work already";
-  if (wrong) {
+  if (const char* wrong = wrong_with(query, name != class_names_.end())) {
     counts_.answers[static_cast<std::size_t>(AnswerKind::bad_query)] += 1;
     return message.asker->answer({AnswerKind::bad_query, wrong});
   }
@@ -87,9 +84,32 @@
   feed(request);
 }
 
+const char* DecisionLoop::wrong_with(const Query& query, bool class_known) const {
+  if (!class_known) return "unknown class";
+  // The module would not answer a second query of the same id, and a worker could run it twice; nor is there
+  // a way to tell a repeat that comes after the answer from the first: a payout must not run again.
+  if (queries_.contains(query.id)) return "this id is in work already";
+  if (spent_.contains(query.id)) return "this id was in work before";
+  // Whatever the protocol let through: a deadline that is no number would break the order of the timers.
+  const double cost = query.cost_ms.value_or(0);
+  if (!std::isfinite(query.deadline) || !(cost >= 0 && std::isfinite(cost)) ||
+      !(query.slots > 0 && std::isfinite(query.slots)))
+    return "a figure of it cannot be right";
+  return nullptr;
+}
+
+void DecisionLoop::Spent::add(const std::string& id) {
+  if (!ids_.insert(id).second) return;
+  oldest_first_.push_back(id);
+  if (oldest_first_.size() <= kMost) return;
+  ids_.erase(oldest_first_.front());
+  oldest_first_.pop_front();
+}
+
 void DecisionLoop::take(ClientGone& message) {
   const auto found = queries_.find(message.query);
-  if (found == queries_.end() || !found->second.asker) return;
+  // The id may be another client's query, and this one have been told so.
+  if (found == queries_.end() || !found->second.asker || found->second.asker != message.asker) return;
   counts_.gone += 1;
   found->second.asker.reset();
   feed(woadtide::RequestGone{message.query});
@@ -111,6 +131,12 @@
   if (message.status == Status::ok && found->second.asker &&
       found->second.executions.at(static_cast<std::size_t>(message.key.attempt)).out)
     settle(found->second, {AnswerKind::served, std::move(message.result)});
+  // What is wrong with the query is no news of the worker, which the module would leave alone for it, and no
+  // other worker would take it.
+  if (message.bad_query) {
+    settle(found->second, {AnswerKind::bad_query, "the worker cannot use it"});
+    return end(message.key, Status::cancelled);
+  }
   end(message.key, message.status);
 }
 
@@ -201,6 +227,8 @@
   if (place >= open.executions.size() || !open.executions[place].out) return;
   open.executions[place].out = false;
   if (status != Status::ok) counts_.failures += 1;
+  if (status != Status::full && status != Status::connect_failed && status != Status::moot)
+    open.may_have_run = true;
   woadtide::Outcome outcome;
   outcome.id = key.query;
   outcome.attempt = key.attempt;
@@ -237,8 +265,9 @@
   const auto found = queries_.find(id);
   if (found == queries_.end() || found->second.asker) return;
   const auto& executions = found->second.executions;
-  if (std::none_of(executions.begin(), executions.end(), [](const Running& e) { return e.out; }))
-    queries_.erase(found);
+  if (std::any_of(executions.begin(), executions.end(), [](const Running& e) { return e.out; })) return;
+  if (found->second.may_have_run) spent_.add(found->first);
+  queries_.erase(found);
 }
 
 void DecisionLoop::report_counts() {
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "core/clock.hpp"
@@ -35,6 +37,7 @@
     Parcel parcel;
     double deadline = 0;
     std::vector<Running> executions;
+    bool may_have_run = false;
   };
   struct Timer {
     std::string name;  // the module's token, or a query's id
@@ -46,6 +49,17 @@
     int queries = 0, executions = 0, failures = 0, gone = 0;
   };
   using Queries = std::map<std::string, Open>;
+  // Ids of queries that are over and may have run, the newest of them.
+  class Spent {
+   public:
+    bool contains(const std::string& id) const { return ids_.contains(id); }
+    void add(const std::string& id);
+
+   private:
+    static constexpr std::size_t kMost = 8192;  // minutes of the busiest traffic, some 1 MB
+    std::unordered_set<std::string> ids_;
+    std::deque<std::string> oldest_first_;
+  };
 
   void take(QueryArrived& message);
   void take(ClientGone& message);
@@ -66,6 +80,7 @@
   void act(const woadtide::SetTimer& action);
   void act(const woadtide::Log& action);
 
+  const char* wrong_with(const Query& query, bool class_known) const;
   void feed(const woadtide::Event& event);
   void settle(Open& open, Answer answer);
   void end(const ExecutionKey& key, woadtide::Status status);
@@ -83,6 +98,7 @@
   Executor& executor_;
   HostSource& hosts_;
   Queries queries_;
+  Spent spent_;
   std::multimap<double, Timer> timers_;
   bool stopped_ = false;
   Counts counts_;
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -20,6 +20,7 @@
 };
 struct ClientGone {  // closed its link before the answer
   std::string query;
+  std::shared_ptr<Asker> asker;  // whose: another client may have sent the same id
 };
 struct ExecutionStarted {
   ExecutionKey key;
@@ -30,7 +31,8 @@
 struct ExecutionEnded {
   ExecutionKey key;
   woadtide::Status status = woadtide::Status::error;
-  std::string result;  // with Status::ok
+  std::string result;      // with Status::ok
+  bool bad_query = false;  // the worker found the query itself wrong
 };
 struct ProbeEnded {
   std::string worker;
@@ -47,11 +49,21 @@
 
 class Inbox {
  public:
+  static constexpr std::size_t kManyWaiting = 4096;
+
+  // Every link has at most a query and an ending on the way, so this stays bounded by the links.
   void put(Message message) {
     const std::lock_guard lock(mutex_);
     messages_.push_back(std::move(message));
     came_.notify_one();
   }
+  // For news that can be done without: dropped where so much is waiting that a peer must be flooding us.
+  void put_hint(Message message) {
+    const std::lock_guard lock(mutex_);
+    if (messages_.size() >= kManyWaiting) return;
+    messages_.push_back(std::move(message));
+    came_.notify_one();
+  }
   // All that has come, in order.
   std::deque<Message> take() {
     const std::lock_guard lock(mutex_);
--- a/src/core/query.hpp
+++ b/src/core/query.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "woadtide/balance.hpp"
 
@@ -15,7 +16,8 @@
 // What a worker is to get, as the client sent it. The loop never looks inside.
 struct Parcel {
   std::shared_ptr<const void> hold;  // owns the bytes that the views show
-  std::string_view method, target, fields, body;
+  std::string_view method, target, fields;
+  std::vector<std::string_view> body;  // in pieces
 };
 
 struct Query {
--- a/src/net/buffer_pool.hpp
+++ b/src/net/buffer_pool.hpp
@@ -1,17 +1,24 @@
-// Buffers of one size, used again. One holds any whole message that the protocol allows: head and body.
+// Buffers of one size, used again. One holds any head that the protocol allows with the usual small body; a
+// large body takes several.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "core/clock.hpp"
+
 namespace woadtide::net {
 
 constexpr std::size_t kMostHead = 8 * 1024;
 constexpr std::size_t kMostBody = 64 * 1024;
-constexpr std::size_t kBufferBytes = kMostHead + kMostBody + 1024;  // room for a chunked body's last marks
+constexpr std::size_t kBufferBytes = 16 * 1024;
+static_assert(kBufferBytes > kMostHead);
 
 class BufferPool;
 
@@ -34,25 +41,30 @@
  public:
   explicit BufferPool(std::size_t most) : most_(most) {}
 
-  // Waits while `most` are out: memory stays bounded whatever comes in.
-  Buffer take() {
+  // Waits while `most` are out, until `until` at the longest: memory stays bounded whatever comes in.
+  std::optional<Buffer> take(double until, const core::Clock& clock) {
     std::unique_lock lock(mutex_);
-    came_back_.wait(lock, [this] { return !free_.empty() || made_ < most_; });
+    while (free_.empty() && made_ == most_) {
+      const double left = until - clock.now();
+      if (left <= 0) return std::nullopt;
+      came_back_.wait_for(lock, std::chrono::duration<double, std::milli>(std::min(left, kLookMs)));
+    }
     if (free_.empty()) {
       made_ += 1;
-      return {*this, std::make_unique_for_overwrite<char[]>(kBufferBytes)};
+      return Buffer{*this, std::make_unique_for_overwrite<char[]>(kBufferBytes)};
     }
     std::unique_ptr<char[]> bytes = std::move(free_.back());
     free_.pop_back();
-    return {*this, std::move(bytes)};
+    return Buffer{*this, std::move(bytes)};
   }
-  std::size_t made() const {
+  std::size_t out() const {
     const std::lock_guard lock(mutex_);
-    return made_;
+    return made_ - free_.size();
   }
 
  private:
   friend class Buffer;
+  static constexpr double kLookMs = 100;  // the clock may have been set meanwhile
   void put_back(std::unique_ptr<char[]> bytes) {
     const std::lock_guard lock(mutex_);
     free_.push_back(std::move(bytes));
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -1,18 +1,19 @@
 #include "net/client_link.hpp"
 
 #include <poll.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <cstring>
-#include <limits>
-#include <system_error>
+#include <initializer_list>
+#include <utility>
+#include <vector>
 
 #include "core/log.hpp"
+#include "net/client_links.hpp"
 
 namespace woadtide::net {
 
@@ -20,9 +21,11 @@
 
 namespace {
 
-constexpr double kForever = std::numeric_limits<double>::infinity();
 constexpr std::size_t kMostId = 128;
-constexpr double kTakeRestMs = 500;
+constexpr double kMostBudgetMs = 1e9, kMostCostMicros = 1e12, kMostSlots = 1e6;
+// For the word on what is wrong, and for what still comes behind it. With first_ms it keeps what a client
+// that sends nothing good is owed, an error or a close in 3 s, and leaves something for a late accept.
+constexpr double kLastWordMs = 500;
 
 std::string_view reason(int status) {
   switch (status) {
@@ -51,11 +54,15 @@
   }
 }
 
-std::optional<double> number(std::string_view text) {
+// Plain decimal digits, a fraction at most, up to `most`. from_chars alone would take "nan" and "inf" too:
+// they pass or fail every comparison, and one of them as a deadline would break the order of the loop's
+// timers.
+std::optional<double> number(std::string_view text, double most) {
   double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || error != std::errc{} || end != text.data() + text.size() || value < 0)
-    return std::nullopt;
+  const char* const last = text.data() + text.size();
+  if (text.empty() || text.front() < '0' || text.front() > '9') return std::nullopt;
+  const auto [end, error] = std::from_chars(text.data(), last, value, std::chars_format::fixed);
+  if (error != std::errc{} || end != last || !std::isfinite(value) || value > most) return std::nullopt;
   return value;
 }
 
@@ -63,104 +70,107 @@
 std::optional<double> budget_ms(std::string_view text) {
   if (text.empty()) return std::nullopt;
   const char unit = text.back();
-  const auto value = number(text.substr(0, text.size() - 1));
-  if (!value || (unit != 'm' && unit != 'u') || *value > 1e9) return std::nullopt;
-  return unit == 'm' ? *value : *value / 1000;
+  const double in_ms = unit == 'u' ? 1000 : 1;
+  const auto value = number(text.substr(0, text.size() - 1), kMostBudgetMs * in_ms);
+  if (!value || (unit != 'm' && unit != 'u')) return std::nullopt;
+  return *value / in_ms;
 }
 
 // `name` in "name=value,name=value".
-std::optional<double> figure(std::string_view pairs, std::string_view name) {
+std::optional<std::string_view> figure(std::string_view pairs, std::string_view name) {
   while (!pairs.empty()) {
     const std::string_view pair = pairs.substr(0, pairs.find(','));
     pairs.remove_prefix(std::min(pairs.size(), pair.size() + 1));
     if (pair.starts_with(name) && pair.substr(name.size()).starts_with('='))
-      return number(pair.substr(name.size() + 1));
+      return pair.substr(name.size() + 1);
   }
   return std::nullopt;
 }
 
+bool is_one_of(std::string_view name, std::initializer_list<std::string_view> names) {
+  return std::any_of(names.begin(), names.end(), [&](std::string_view one) { return same_name(one, name); });
+}
+
 // Of one link only, or written anew for the worker.
 bool is_passed_on(std::string_view name) {
-  static constexpr std::array<std::string_view, 11> kOwn = {
-      "Host",    "Connection",        "Keep-Alive", "Proxy-Connection", "TE",      "Trailer",
-      "Upgrade", "Transfer-Encoding", "Expect",     "Content-Length",   "X-Budget"};
-  return std::none_of(kOwn.begin(), kOwn.end(), [&](std::string_view own) { return same_name(own, name); });
+  return !is_one_of(name, {"Host", "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade",
+                           "Transfer-Encoding", "Expect", "Content-Length", "X-Budget"});
+}
+
+// What the loop or a worker goes by. Twice, or named as meant for this link only, it could be read in two
+// ways: the worker could run another query than the one that was decided on.
+void check_unambiguous(const Head& head) {
+  const std::initializer_list<std::string_view> once = {
+      "Host", "X-Call-Id", "X-Call-Class", "X-Budget", "X-Call-Cost", "X-Call-Info", "X-Again"};
+  for (auto field = head.fields.begin(); field != head.fields.end(); ++field) {
+    if (!is_one_of(field->name, once)) continue;
+    const auto again = [&](const Field& other) { return same_name(other.name, field->name); };
+    if (std::any_of(field + 1, head.fields.end(), again) || head.connection_names(field->name))
+      throw BadMessage(400, std::string(field->name) + " is ambiguous");
+  }
 }
 
 void read_fields(const Head& head, core::Query& query, double received) {
+  check_unambiguous(head);
   const auto id = head.find("X-Call-Id"), kind = head.find("X-Call-Class"), budget = head.find("X-Budget");
-  if (!id || id->empty() || id->size() > kMostId) throw BadMessage(400, "X-Call-Id is missing or malformed");
+  if (!id || id->size() > kMostId || !is_token(*id))
+    throw BadMessage(400, "X-Call-Id is missing or malformed");
   if (!kind) throw BadMessage(400, "X-Call-Class is missing");
   const auto wait = budget_ms(budget.value_or(""));
   if (!wait) throw BadMessage(400, "X-Budget is missing or malformed");
   query.id = *id;
   query.class_name = *kind;
   query.deadline = received + *wait;
-  if (const auto cost = number(head.find("X-Call-Cost").value_or(""))) query.cost_ms = *cost / 1000;
-  if (const auto slots = figure(head.find("X-Call-Info").value_or(""), "slots")) query.slots = *slots;
+  if (const auto told = head.find("X-Call-Cost")) {
+    const auto cost = number(*told, kMostCostMicros);
+    if (!cost) throw BadMessage(400, "X-Call-Cost is malformed");
+    query.cost_ms = *cost / 1000;
+  }
+  if (const auto told = figure(head.find("X-Call-Info").value_or(""), "slots")) {
+    const auto slots = number(*told, kMostSlots);
+    if (!slots || *slots <= 0) throw BadMessage(400, "X-Call-Info's slots are malformed");
+    query.slots = *slots;
+  }
 }
 
 }  // namespace
 
 struct ClientLink::Held {
-  explicit Held(Buffer from_pool) : buffer(std::move(from_pool)) {}
-  Buffer buffer;
+  std::vector<Buffer> buffers;
   std::string fields;
 };
 
 // The mailbox ----------------------------------------------------------------------------------------------
 
-ClientLink::Mailbox::Mailbox() : wake_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
-  if (!wake_) throw std::system_error(errno, std::generic_category(), "eventfd");
-}
-
-void ClientLink::Mailbox::wake() {
-  const std::uint64_t one = 1;
-  // It can only fail where a wake-up is pending already.
-  if (::write(wake_.get(), &one, sizeof one) < 0) return;
-}
-
 void ClientLink::Mailbox::answer(core::Answer answer) {
   const std::lock_guard lock(mutex_);
   answer_ = std::move(answer);
-  wake();
+  came_.notify_one();
 }
 
-std::optional<core::Answer> ClientLink::Mailbox::take() {
+void ClientLink::Mailbox::leave() {
   const std::lock_guard lock(mutex_);
-  std::uint64_t count = 0;
-  if (::read(wake_.get(), &count, sizeof count) < 0 && !answer_) return std::nullopt;
+  left_ = true;
+  came_.notify_one();
+}
+
+std::optional<core::Answer> ClientLink::Mailbox::wait() {
+  std::unique_lock lock(mutex_);
+  came_.wait(lock, [this] { return answer_ || left_; });
   return std::exchange(answer_, std::nullopt);
 }
 
 // The link -------------------------------------------------------------------------------------------------
 
-ClientLink::ClientLink(Socket socket, ClientSide& side)
+ClientLink::ClientLink(Socket socket, ClientSide& side, ClientLinks& links)
     : side_(side),
-      socket_(std::move(socket)),
+      links_(links),
       mailbox_(std::make_shared<Mailbox>()),
-      idle_since_(side.clock.now()),
+      opened_(side.clock.now()),
+      socket_(std::move(socket)),
       thread_("client-link", [this] { run(); }) {}
 
-ClientLink::~ClientLink() {
-  const std::lock_guard lock(mutex_);
-  closing_ = true;
-  if (socket_) socket_.shut();
-  mailbox_->wake();
-}
-
-bool ClientLink::close_if_idle() {
-  const std::lock_guard lock(mutex_);
-  if (!idle_) return false;
-  closing_ = true;
-  mailbox_->wake();
-  return true;
-}
-
-std::optional<double> ClientLink::idle_since() {
-  const std::lock_guard lock(mutex_);
-  return idle_ && !closing_ ? std::optional(idle_since_) : std::nullopt;
-}
+ClientLink::~ClientLink() = default;
 
 void ClientLink::run() {
   try {
@@ -169,32 +179,28 @@
   } catch (const std::exception& failed) {
     core::log_line(std::string("client link: ") + failed.what());
   }
-  const std::lock_guard lock(mutex_);
-  idle_ = false;
-  socket_ = Socket{};
-  over_ = true;
+  links_.end(*this);
 }
 
-// False when the link is to be closed instead.
+// False when the link is to be closed instead. A link that says nothing holds no buffer.
 bool ClientLink::await_query() {
   if (unread_.empty()) {
-    const double until = side_.clock.now() + side_.idle_ms;
-    // Woken here, it is to close: an answer is always taken together with its wake-up.
-    if (wait_for(socket_.fd(), POLLIN, mailbox_->fd(), until, side_.clock).first == 0) return false;
+    const double until = served_ ? side_.clock.now() + side_.idle_ms : opened_ + side_.first_ms;
+    if (wait_for(socket_.fd(), POLLIN, -1, until, side_.clock).first == 0) return false;
   }
-  // From here a query counts as read: whoever wants idle links closed leaves this one alone.
-  const std::lock_guard lock(mutex_);
-  if (closing_) return false;
-  idle_ = false;
-  return true;
+  // From here a served link's query counts as read: whoever wants idle links closed leaves this one alone.
+  return links_.stand(*this, served_ ? Standing::busy : Standing::reading);
 }
 
 bool ClientLink::serve_query() {
   core::Query query;
   bool closes = false;
   try {
-    const auto held = read_query(query, closes);
-    if (!held) return false;
+    // One limit from accept on for all of the first query: half a head, or a byte now and then, must not hold
+    // a place and a buffer for longer.
+    const double until = served_ ? side_.clock.now() + side_.message_ms : opened_ + side_.first_ms;
+    const auto held = read_query(query, closes, until);
+    if (!held || !links_.stand(*this, Standing::busy)) return false;
     query.parcel.hold = held;
     const std::string_view path = query.parcel.target.substr(0, query.parcel.target.find('?'));
     const bool ready_asked = path == "/health/ready", live_asked = path == "/health/live";
@@ -207,10 +213,8 @@
     } else {
       go_on = answer_query(std::move(query), closes);
     }
-    const std::lock_guard lock(mutex_);
-    idle_ = true;
-    idle_since_ = side_.clock.now();
-    return go_on && !closing_;
+    served_ = true;
+    return go_on && links_.stand(*this, Standing::idle);
   } catch (const BadMessage& bad) {
     reject(bad.status, bad.what());
     return false;
@@ -218,16 +222,19 @@
 }
 
 // Reads one whole message. Nothing, if the link ended before. Throws BadMessage.
-std::shared_ptr<ClientLink::Held> ClientLink::read_query(core::Query& query, bool& closes) {
-  const auto held = std::make_shared<Held>(side_.pool.take());
-  char* const data = held->buffer.data();
+std::shared_ptr<ClientLink::Held> ClientLink::read_query(core::Query& query, bool& closes, double until) {
+  const auto held = std::make_shared<Held>();
+  const auto next_buffer = [&] {
+    auto buffer = side_.pool.take(until, side_.clock);
+    if (!buffer) throw BadMessage(503, "no memory for it now");
+    return held->buffers.emplace_back(std::move(*buffer)).data();
+  };
+  char* data = next_buffer();
   std::size_t size = unread_.size();
   std::memcpy(data, unread_.data(), size);
   unread_.clear();
-  const double until = side_.clock.now() + side_.message_ms;
   const auto read_on = [&] {
     std::size_t got = 0;
-    if (size == kBufferBytes) throw BadMessage(413, "message too large");
     const Io io = socket_.receive(data + size, kBufferBytes - size, got, until, side_.clock);
     if (io == Io::late) throw BadMessage(408, "the rest did not come");
     size += got;
@@ -241,43 +248,51 @@
   const Framing framing = framing_of_query(head);
   closes = framing.closes;
   if (same_name(head.find("Expect").value_or(""), "100-continue"))
-    socket_.send("HTTP/1.1 100 Continue\r\n\r\n", {}, until, side_.clock);
+    socket_.send({"HTTP/1.1 100 Continue\r\n\r\n"}, until, side_.clock);
 
-  // The body is laid right behind the head; chunk marks fall away, so it never overtakes what comes in.
+  // The body is laid right behind the head, then into further buffers; chunk marks fall away, so it never
+  // overtakes what comes in.
   BodyDecoder decoder(framing);
-  std::size_t body_size = 0, used = head_size;
+  std::vector<std::string_view> body;
+  std::size_t body_size = 0, start = head_size, kept = 0, used = head_size;
   for (;;) {
     used += decoder.feed({data + used, size - used}, [&](std::string_view piece) {
       if (body_size + piece.size() > kMostBody) throw BadMessage(413, "body over 64 KiB");
-      std::memmove(data + head_size + body_size, piece.data(), piece.size());
+      std::memmove(data + start + kept, piece.data(), piece.size());
+      kept += piece.size();
       body_size += piece.size();
     });
-    if (decoder.over()) break;
-    used = size = head_size + body_size;
+    const bool over = decoder.over();
+    if (over || start + kept == kBufferBytes) body.emplace_back(data + start, kept);
+    if (over) break;
+    used = size = start + kept;
+    if (size == kBufferBytes) {
+      data = next_buffer();
+      start = kept = used = size = 0;
+    }
     if (!read_on()) return nullptr;
   }
   unread_.assign(data + used, size - used);
 
   for (const Field& field : head.fields)
-    if (is_passed_on(field.name))
+    if (is_passed_on(field.name) && !head.connection_names(field.name))
       held->fields.append(field.name).append(": ").append(field.value).append("\r\n");
-  query.parcel = {nullptr, head.method, head.target, held->fields, {data + head_size, body_size}};
+  query.parcel = {nullptr, head.method, head.target, held->fields, std::move(body)};
   if (head.method == "POST") read_fields(head, query, side_.clock.now());
   return held;
 }
 
 bool ClientLink::answer_query(core::Query query, bool closes) {
   const std::string id = query.id;
-  side_.inbox.put(core::QueryArrived{std::move(query), mailbox_});
   std::optional<core::Answer> answer;
-  while (!(answer = mailbox_->take())) {
-    const auto [come, woken] = wait_for(socket_.fd(), POLLRDHUP, mailbox_->fd(), kForever, side_.clock);
-    if (come != 0 && woken == 0) {
-      side_.inbox.put(core::ClientGone{id});
-      return false;
-    }
-    const std::lock_guard lock(mutex_);
-    if (closing_) return false;
+  {
+    const Lookout::Watch watch(side_.lookout, socket_.fd(), [this] { mailbox_->leave(); });
+    side_.inbox.put(core::QueryArrived{std::move(query), mailbox_});
+    answer = mailbox_->wait();
+  }
+  if (!answer) {
+    side_.inbox.put(core::ClientGone{id, mailbox_});
+    return false;
   }
   switch (answer->kind) {
     case AnswerKind::served:
@@ -307,7 +322,7 @@
   if (closes) head.append("Connection: close\r\n");
   head.append("\r\n");
   const double until = side_.clock.now() + side_.message_ms;
-  return socket_.send(head, body, until, side_.clock) == Io::done && !closes;
+  return socket_.send({head, body}, until, side_.clock) == Io::done && !closes;
 }
 
 void ClientLink::reject(int status, std::string_view why) {
@@ -316,12 +331,13 @@
 }
 
 // Closing with bytes unread resets the link, and the client could lose the answer that says what was wrong.
+// But one that sends on and on has had its time.
 void ClientLink::take_rest() {
   socket_.shut(SHUT_WR);
-  Buffer buffer = side_.pool.take();
-  const double until = side_.clock.now() + kTakeRestMs;
+  std::array<char, 4096> rest{};
+  const double until = side_.clock.now() + kLastWordMs;
   std::size_t got = 0;
-  while (socket_.receive(buffer.data(), kBufferBytes, got, until, side_.clock) == Io::done) {
+  while (socket_.receive(rest.data(), rest.size(), got, until, side_.clock) == Io::done) {
     if (side_.clock.now() >= until) return;
   }
 }
--- a/src/net/client_link.hpp
+++ b/src/net/client_link.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -11,6 +13,7 @@
 #include "core/query.hpp"
 #include "net/buffer_pool.hpp"
 #include "net/http.hpp"
+#include "net/lookout.hpp"
 #include "net/socket.hpp"
 #include "net/thread.hpp"
 
@@ -21,61 +24,68 @@
   core::Clock& clock;
   core::Inbox& inbox;
   BufferPool& pool;
-  double idle_ms = 120'000;           // a link without a query is closed after this
-  double message_ms = 10'000;         // a query must have come, an answer must have gone, within this
-  std::atomic<bool> ready{false};     // what /health/ready says
+  Lookout& lookout;
+  double first_ms = 2'000;         // from accept: by then a link's first query must have come whole
+  double idle_ms = 120'000;        // a link that has served is closed after this without a query
+  double message_ms = 10'000;      // its next queries must have come, an answer must have gone, within this
+  std::atomic<bool> ready{false};  // what /health/ready says
   std::atomic<bool> draining{false};  // answers close their links
 };
 
+// Where a link stands, which says whether it may be closed to make room:
+// fresh: no byte of its first query was read; reading: a part of it was; idle: between two queries;
+// busy: a query is at work; over: its thread is about to end.
+enum class Standing { fresh, reading, idle, busy, over };
+
+class ClientLinks;
+
 class ClientLink {
  public:
   // Throws std::system_error when there are no more threads or descriptors.
-  ClientLink(Socket socket, ClientSide& side);
+  ClientLink(Socket socket, ClientSide& side, ClientLinks& links);
   ~ClientLink();
   ClientLink(const ClientLink&) = delete;
   ClientLink& operator=(const ClientLink&) = delete;
 
-  // Closes the link if it is between two queries, before it reads anything more: a query that crosses this is
-  // unread, and the client may send it again elsewhere. False if a query is at work.
-  bool close_if_idle();
-  // When it became idle; nullopt while a query is at work.
-  std::optional<double> idle_since();
-  bool over() const { return over_; }
-
  private:
+  friend class ClientLinks;
+
   // Where the loop puts the answer. It outlives the link when the client has gone.
   class Mailbox : public core::Asker {
    public:
-    Mailbox();
     void answer(core::Answer answer) override;
-    std::optional<core::Answer> take();
-    void wake();
-    int fd() const { return wake_.get(); }
+    void leave();  // nobody needs an answer any more
+    // The answer; nothing, if the client has gone.
+    std::optional<core::Answer> wait();
 
    private:
     std::mutex mutex_;
+    std::condition_variable came_;
     std::optional<core::Answer> answer_;
-    Fd wake_;
+    bool left_ = false;
   };
   struct Held;  // a query's bytes
 
   void run();
   bool await_query();
   bool serve_query();
-  std::shared_ptr<Held> read_query(core::Query& query, bool& closes);
+  std::shared_ptr<Held> read_query(core::Query& query, bool& closes, double until);
   bool answer_query(core::Query query, bool closes);
   bool write(int status, std::string_view fields, std::string_view body, bool closes);
   void reject(int status, std::string_view why);
   void take_rest();
 
   ClientSide& side_;
-  Socket socket_;
+  ClientLinks& links_;
   const std::shared_ptr<Mailbox> mailbox_;
-  std::string unread_;  // bytes that came behind a query
-  std::mutex mutex_;
-  bool idle_ = true, closing_ = false;
-  double idle_since_;
-  std::atomic<bool> over_{false};
+  const double opened_;
+  bool served_ = false;  // a whole query of it was answered
+  std::string unread_;   // bytes that came behind a query
+  // Under the mutex of links_, but that the link's thread uses the socket:
+  Socket socket_;
+  Standing standing_ = Standing::fresh;
+  std::list<std::unique_ptr<ClientLink>>::iterator place_;
+  bool closing_ = false;
   Thread thread_;  // last: it uses all the others
 };
 
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -9,13 +9,15 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
+#include <iterator>
 #include <system_error>
 
 namespace woadtide::net {
 
 namespace {
 constexpr double kReapMs = 1'000;  // threads of ended links are joined this often at least
-constexpr int kFullMs = 5;         // how long to wait where there is no room for a link
+constexpr int kFullMs = 5;         // how long to wait where there is no room, before another look
 }  // namespace
 
 ClientLinks::ClientLinks(Socket listener, std::size_t most, ClientSide& side)
@@ -26,9 +28,18 @@
   thread_ = Thread("acceptor", [this] { run(); });
 }
 
+// No link may be torn down while its thread could still say where it stands.
 ClientLinks::~ClientLinks() {
   stop_accepting();
   thread_.join();
+  std::unique_lock lock(mutex_);
+  for (Links& links : links_)
+    for (const auto& link : links) {
+      link->closing_ = true;
+      if (link->socket_) link->socket_.shut();
+      link->mailbox_->leave();
+    }
+  ended_.wait(lock, [this] { return open_here() == 0; });
 }
 
 void ClientLinks::stop_accepting() {
@@ -39,8 +50,46 @@
 
 std::size_t ClientLinks::open() {
   const std::lock_guard lock(mutex_);
-  return static_cast<std::size_t>(
-      std::count_if(links_.begin(), links_.end(), [](const auto& link) { return !link->over(); }));
+  return open_here();
+}
+
+std::size_t ClientLinks::count(Standing standing) {
+  const std::lock_guard lock(mutex_);
+  return at(standing).size();
+}
+
+std::size_t ClientLinks::open_here() const {
+  std::size_t open = 0;
+  for (const Links& links : links_) open += links.size();
+  return open - links_[static_cast<std::size_t>(Standing::over)].size();
+}
+
+bool ClientLinks::stand(ClientLink& link, Standing standing) {
+  const std::lock_guard lock(mutex_);
+  if (link.closing_) return false;
+  put(link, standing);
+  return true;
+}
+
+void ClientLinks::end(ClientLink& link) {
+  const std::lock_guard lock(mutex_);
+  if (link.closing_) closing_ -= 1;
+  link.socket_ = Socket{};
+  put(link, Standing::over);
+  ended_.notify_all();
+}
+
+void ClientLinks::put(ClientLink& link, Standing standing) {
+  at(standing).splice(at(standing).end(), at(link.standing_), link.place_);
+  link.standing_ = standing;
+}
+
+// Wakes its thread, which then ends. Only for a link that has no query at work.
+void ClientLinks::close(ClientLink& link) {
+  link.closing_ = true;
+  closing_ += 1;
+  link.socket_.shut();
+  put(link, Standing::busy);
 }
 
 void ClientLinks::run() {
@@ -55,7 +104,11 @@
   }
   listener_ = Socket{};
   const std::lock_guard lock(mutex_);
-  for (const auto& link : links_) link->close_if_idle();
+  while (!at(Standing::idle).empty()) close(*at(Standing::idle).front());
+  for (auto it = at(Standing::fresh).begin(); it != at(Standing::fresh).end();) {
+    ClientLink& link = **it++;
+    if (link.socket_.quiet()) close(link);
+  }
 }
 
 // False where nobody is waiting.
@@ -74,42 +127,53 @@
   const int on = 1;
   ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   try {
-    auto link = std::make_unique<ClientLink>(std::move(socket), side_);
+    // Under the mutex until it is in the list: its thread may say at once where it stands.
     const std::lock_guard lock(mutex_);
-    links_.push_back(std::move(link));
+    Links& fresh = at(Standing::fresh);
+    fresh.push_back(std::make_unique<ClientLink>(std::move(socket), side_, *this));
+    fresh.back()->place_ = std::prev(fresh.end());
   } catch (const std::exception& failed) {
     core::log_line(std::string("acceptor: ") + failed.what());
   }
   return true;
 }
 
-// At the edge the links that stood idle longest go first. Where all have a query at work, new ones wait.
+// At the edge links that never completed a query go first, oldest first: clients that connect by the hundred
+// and say nothing, or half a head, must not push out those that are served. Then served ones, longest idle
+// first. Where all have a query at work, new ones wait.
 void ClientLinks::make_room() {
-  while (open() >= most_) {
-    {
-      const std::lock_guard lock(mutex_);
-      ClientLink* oldest = nullptr;
-      double since = 0;
-      for (const auto& link : links_) {
-        const auto idle = link->idle_since();
-        if (idle && (!oldest || *idle < since)) oldest = link.get(), since = *idle;
-      }
-      if (oldest) oldest->close_if_idle();
-    }
+  std::unique_lock lock(mutex_);
+  while (open_here() >= most_) {
     if (all_open_.due(side_.clock.now()))
-      core::log_line("acceptor: all " + std::to_string(most_) + " client links are open");
-    ::poll(nullptr, 0, kFullMs);
-    reap();
+      core::log_line("acceptor: all " + std::to_string(most_) + " client links are open, " +
+                     std::to_string(at(Standing::fresh).size() + at(Standing::reading).size()) +
+                     " unserved, " + std::to_string(at(Standing::idle).size()) + " idle");
+    // One at a time: what was told to close is about to make the room.
+    if (closing_ == 0) {
+      ClientLink* shed = oldest_unserved();
+      if (!shed && !at(Standing::idle).empty()) shed = at(Standing::idle).front().get();
+      if (shed) close(*shed);
+    }
+    ended_.wait_for(lock, std::chrono::milliseconds(kFullMs));
   }
 }
 
+// One whose bytes have come, but whose thread had no turn yet, is not silent.
+ClientLink* ClientLinks::oldest_unserved() {
+  const Links &fresh = at(Standing::fresh), &reading = at(Standing::reading);
+  const auto silent =
+      std::find_if(fresh.begin(), fresh.end(), [](const auto& l) { return l->socket_.quiet(); });
+  ClientLink* const one = silent == fresh.end() ? nullptr : silent->get();
+  ClientLink* const other = reading.empty() ? nullptr : reading.front().get();
+  if (!one || !other) return one ? one : other;
+  return one->opened_ <= other->opened_ ? one : other;
+}
+
+// Threads are joined outside the mutex, which they need for their end.
 void ClientLinks::reap() {
-  std::list<std::unique_ptr<ClientLink>> ended;
+  Links ended;
   const std::lock_guard lock(mutex_);
-  for (auto it = links_.begin(); it != links_.end();) {
-    const auto here = it++;
-    if ((*here)->over()) ended.splice(ended.end(), links_, here);
-  }
+  ended.swap(at(Standing::over));
 }
 
 }  // namespace woadtide::net
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -1,6 +1,8 @@
 // All client links, and the acceptor that opens them.
 #pragma once
 
+#include <array>
+#include <condition_variable>
 #include <list>
 #include <memory>
 #include <mutex>
@@ -14,7 +16,7 @@
 
 class ClientLinks {
  public:
-  // At most `most` links at once; each holds two descriptors.
+  // At most `most` links at once; each holds one descriptor.
   ClientLinks(Socket listener, std::size_t most, ClientSide& side);
   ~ClientLinks();
   ClientLinks(const ClientLinks&) = delete;
@@ -24,11 +26,25 @@
   // idle. Links with a query at work stay until it is answered.
   void stop_accepting();
   std::size_t open();
+  std::size_t count(Standing standing);
 
  private:
+  friend class ClientLink;
+  using Links = std::list<std::unique_ptr<ClientLink>>;
+
+  // A link's word on where it stands. False when it was told to close: it must not go on.
+  bool stand(ClientLink& link, Standing standing);
+  // A link's last word: its socket is closed here.
+  void end(ClientLink& link);
+
   void run();
   bool accept_one();
   void make_room();
+  ClientLink* oldest_unserved();
+  std::size_t open_here() const;
+  Links& at(Standing standing) { return links_[static_cast<std::size_t>(standing)]; }
+  void put(ClientLink& link, Standing standing);
+  void close(ClientLink& link);
   void reap();
 
   ClientSide& side_;
@@ -37,7 +53,10 @@
   Fd wake_;
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
-  std::list<std::unique_ptr<ClientLink>> links_;
+  std::condition_variable ended_;
+  // By standing, each in the order in which they came to stand so: no walk through all of them at an accept.
+  std::array<Links, 5> links_;
+  std::size_t closing_ = 0;  // links told to close whose threads have not ended
   core::Seldom all_open_, no_room_;
   Thread thread_;  // last: it uses all the others
 };
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -97,9 +97,9 @@
             " HTTP/1.1\r\nHost: " + discovery_ + "\r\n\r\n";
   }
   if (!socket_.connect(address, kConnectMs)) throw std::runtime_error("could not connect");
-  if (socket_.send(query, {}, clock_.now() + silence_ms_, clock_) != Io::done)
+  if (socket_.send({query}, clock_.now() + silence_ms_, clock_) != Io::done)
     throw std::runtime_error("broke while it was opened");
-  Intake intake(socket_, clock_, pool_.take());
+  Intake intake(socket_, clock_, pool_);
   Io why = Io::done;
   const auto length = intake.head(clock_.now() + silence_ms_, why);
   if (!length) throw std::runtime_error(why == Io::late ? "no answer" : "ended before an answer");
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,5 +1,7 @@
 #include "net/http.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstring>
@@ -17,13 +19,10 @@
   return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') ||
          (c != 0 && std::strchr("!#$%&'*+-.^_`|~", c) != nullptr);
 }
-bool is_token(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_char);
-}
-// Control characters have no place in a head: passed on, they could split a worker's.
+// Control characters have no place in a head: passed on, they could split a worker's. What is not ASCII each
+// reader takes in its own way.
 bool is_clean(std::string_view text) {
-  return std::none_of(text.begin(), text.end(),
-                      [](char c) { return (static_cast<unsigned char>(c) < 32 && c != '\t') || c == 127; });
+  return std::all_of(text.begin(), text.end(), [](char c) { return c == '\t' || (c >= ' ' && c <= '~'); });
 }
 
 std::string_view trimmed(std::string_view text) {
@@ -58,16 +57,7 @@
 }
 
 bool closes(const Head& head) {
-  bool close = head.http10;
-  for (const Field& field : head.fields) {
-    if (!same_name(field.name, "Connection")) continue;
-    for (std::string_view rest = field.value; !rest.empty();) {
-      const std::string_view option = trimmed(cut(rest, ","));
-      if (same_name(option, "close")) return true;
-      if (same_name(option, "keep-alive")) close = false;
-    }
-  }
-  return close;
+  return head.connection_names("close") || (head.http10 && !head.connection_names("keep-alive"));
 }
 
 // Where two readers could see two lengths, a second message could hide in the first: that is refused.
@@ -87,6 +77,7 @@
     }
   }
   if (chunked && length) throw BadMessage(400, "both Content-Length and Transfer-Encoding");
+  if (chunked && head.http10) throw BadMessage(400, "Transfer-Encoding in HTTP/1.0");
   if (chunked) framing.kind = Framing::Kind::chunked;
   if (length) framing.length = *length;
   if (!chunked && !length) return std::nullopt;
@@ -95,6 +86,9 @@
 
 }  // namespace
 
+bool is_token(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_char);
+}
 bool same_name(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
@@ -113,6 +107,15 @@
   return std::nullopt;
 }
 
+bool Head::connection_names(std::string_view name) const {
+  for (const Field& field : fields) {
+    if (!same_name(field.name, "Connection")) continue;
+    for (std::string_view rest = field.value; !rest.empty();)
+      if (same_name(trimmed(cut(rest, ",")), name)) return true;
+  }
+  return false;
+}
+
 std::size_t head_length(std::string_view raw) {
   const std::size_t end = raw.substr(0, kMostHead).find("\r\n\r\n");
   if (end != std::string_view::npos) return end + 4;
@@ -190,7 +193,7 @@
     if (!line_.ends_with("\r\n")) throw BadMessage(400, "malformed chunk");
     const std::string_view line = std::string_view(line_).substr(0, line_.size() - 2);
     if (state_ == State::size_line) {
-      const std::string_view digits = trimmed(line.substr(0, line.find(';')));
+      const std::string_view digits = line.substr(0, line.find_first_of("; "));
       const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), left_, 16);
       if (digits.empty() || error != std::errc{} || end != digits.data() + digits.size())
         throw BadMessage(400, "malformed chunk");
@@ -207,14 +210,21 @@
 }
 
 Io Intake::more(double deadline) {
-  if (from_ > 0) {
-    std::memmove(buffer_.data(), buffer_.data() + from_, to_ - from_);
+  if (from_ == to_) {
+    buffer_.reset();
+    from_ = to_ = 0;
+    if (wait_for(socket_.fd(), POLLIN, -1, deadline, clock_).first == 0) return Io::late;
+    auto fresh = pool_.take(deadline, clock_);
+    if (!fresh) return Io::late;
+    buffer_.emplace(std::move(*fresh));
+  } else if (from_ > 0) {
+    std::memmove(buffer_->data(), buffer_->data() + from_, to_ - from_);
     to_ -= from_;
     from_ = 0;
   }
   if (to_ == kBufferBytes) return Io::broken;
   std::size_t got = 0;
-  const Io io = socket_.receive(buffer_.data() + to_, kBufferBytes - to_, got, deadline, clock_);
+  const Io io = socket_.receive(buffer_->data() + to_, kBufferBytes - to_, got, deadline, clock_);
   if (io == Io::done) to_ += got;
   return io;
 }
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -32,8 +32,11 @@
   std::vector<Field> fields;
 
   std::optional<std::string_view> find(std::string_view name) const;
+  // Whether a Connection field names this one as meant for the link only.
+  bool connection_names(std::string_view name) const;
 };
 
+bool is_token(std::string_view text);
 bool same_name(std::string_view a, std::string_view b);  // ASCII, case does not count
 std::optional<std::uint64_t> whole_number(std::string_view text);
 
@@ -70,13 +73,16 @@
   std::string line_;        // a size or trailer line as far as it has come
 };
 
-// Bytes that have come on a link and were not used yet.
+// Bytes that have come on a link and were not used yet. While there are none it holds no buffer: a worker may
+// take seconds to say the next thing.
 class Intake {
  public:
-  Intake(Socket& socket, const core::Clock& clock, Buffer buffer)
-      : socket_(socket), clock_(clock), buffer_(std::move(buffer)) {}
+  Intake(Socket& socket, const core::Clock& clock, BufferPool& pool)
+      : socket_(socket), clock_(clock), pool_(pool) {}
 
-  std::string_view view() const { return {buffer_.data() + from_, to_ - from_}; }
+  std::string_view view() const {
+    return buffer_ ? std::string_view(buffer_->data() + from_, to_ - from_) : std::string_view();
+  }
   void use(std::size_t count) { from_ += count; }
   // Reads on until something comes. Io::broken when the buffer is full.
   Io more(double deadline);
@@ -86,7 +92,8 @@
  private:
   Socket& socket_;
   const core::Clock& clock_;
-  Buffer buffer_;
+  BufferPool& pool_;
+  std::optional<Buffer> buffer_;
   std::size_t from_ = 0, to_ = 0;
 };
 
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -24,16 +24,12 @@
   head.append(parcel.method).append(" ").append(parcel.target).append(" HTTP/1.1\r\nHost: ").append(dial);
   head.append("\r\n").append(parcel.fields);
   head.append("X-Budget: ").append(std::to_string(std::llround(std::max(left_ms, 0.0)))).append("m\r\n");
-  head.append("Content-Length: ").append(std::to_string(parcel.body.size())).append("\r\n\r\n");
+  std::size_t body_size = 0;
+  for (const std::string_view piece : parcel.body) body_size += piece.size();
+  head.append("Content-Length: ").append(std::to_string(body_size)).append("\r\n\r\n");
   return head;
 }
 
-// PROTOCOL's table, for an answer other than 200. Only one marked as turned away proves that nothing ran.
-Status status_of(const Head& head) {
-  const bool turned_away = head.find("X-Rejected") == "1";
-  return turned_away && (head.status == 503 || head.status == 504) ? Status::full : Status::error;
-}
-
 }  // namespace
 
 ServerLinks::ServerLinks(Limits limits, core::Clock& clock, core::Inbox& inbox, const HostGroup& hosts,
@@ -165,7 +161,7 @@
 void ServerLinks::carry_out(Link& link, const Task& task) {
   bool sent = false;
   try {
-    Intake intake(link.socket, clock_, pool_.take());
+    Intake intake(link.socket, clock_, pool_);
     if (auto ending = hand_over(link, task)) {
       set_idle(link, false);
       return report(task, std::move(*ending));
@@ -215,11 +211,20 @@
   const auto host = hosts_.find(execution.worker);
   if (!host || host->state != woadtide::WorkerState::ready) return broken(link, Status::connect_failed);
   const std::string head = head_for(execution, task.host.dial, execution.deadline - clock_.now());
-  const Io sent = link.socket.send(head, execution.parcel.body, execution.deadline + kBackstopMs, clock_);
+  std::vector<std::string_view> parts{head};
+  parts.insert(parts.end(), execution.parcel.body.begin(), execution.parcel.body.end());
+  const Io sent = link.socket.send(parts, execution.deadline + kBackstopMs, clock_);
   if (sent != Io::done) return broken(link, Status::connect_failed);
   return std::nullopt;
 }
 
+// PROTOCOL's table, for an answer other than 200. Only one marked as turned away proves that nothing ran. A
+// 4xx is about the query.
+ServerLinks::Ending ServerLinks::ending_of(const Head& head) {
+  const bool turned_away = head.find("X-Rejected") == "1" && (head.status == 503 || head.status == 504);
+  return {turned_away ? Status::full : Status::error, {}, head.status >= 400 && head.status < 500};
+}
+
 // From the last byte on it may have run. `lines` is set where the link may serve again once the body is over.
 ServerLinks::Ending ServerLinks::await(Link& link, const Task& task, Intake& intake,
                                        std::optional<LineReader>& lines) {
@@ -231,12 +236,11 @@
       if (!length) return broken(link, Status::reset);
       const Head head = read_answer_head(intake.view().substr(0, *length));
       const Framing framing = framing_of_answer(head);
-      const Status refused = status_of(head);
       const int status = head.status;
+      Ending ending = ending_of(head);
       intake.use(*length);
       if (status < 200) continue;
       LineReader reader(intake, framing);
-      Ending ending{refused};
       if (status == 200) ending = await_lines(link, task, reader);
       if (!framing.closes && ending.status != Status::reset) lines.emplace(reader);
       return ending;
@@ -260,8 +264,8 @@
     if (!event.is_object() || event.value("id", nlohmann::json()) != key.query)
       throw BadMessage(400, "not an event of this execution");
     const nlohmann::json state = event.value("state", nlohmann::json());
-    if (state == "started") inbox_.put(core::ExecutionStarted{key});
-    if (state == "running") inbox_.put(core::ExecutionProgress{key});
+    if (state == "started") inbox_.put_hint(core::ExecutionStarted{key});
+    if (state == "running") inbox_.put_hint(core::ExecutionProgress{key});
     if (state == "failed") return {Status::error};
     if (state == "returned") return {Status::full};
     if (state == "lost") return {Status::reset};
@@ -293,7 +297,8 @@
   if (task.probe)
     inbox_.put(core::ProbeEnded{task.execution.worker, ending.status});
   else
-    inbox_.put(core::ExecutionEnded{task.execution.key, ending.status, std::move(ending.result)});
+    inbox_.put(
+        core::ExecutionEnded{task.execution.key, ending.status, std::move(ending.result), ending.bad_query});
 }
 
 }  // namespace woadtide::net
--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -46,6 +46,7 @@
   struct Ending {
     woadtide::Status status = woadtide::Status::error;
     std::string result = {};
+    bool bad_query = false;
   };
   struct Link {
     std::string worker, dial;
@@ -58,6 +59,7 @@
     Thread thread;
   };
 
+  static Ending ending_of(const Head& head);
   void assign(core::Execution execution, bool probe);
   Link* idle_link(const Task& task);
   bool make_room();
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -90,14 +90,14 @@
   }
 }
 
-Io Socket::send(std::string_view head, std::string_view body, double deadline, const core::Clock& clock) {
-  std::array<iovec, 2> parts{iovec{const_cast<char*>(head.data()), head.size()},
-                             iovec{const_cast<char*>(body.data()), body.size()}};
-  std::size_t left = head.size() + body.size();
-  while (left > 0) {
+Io Socket::send(const std::vector<std::string_view>& parts, double deadline, const core::Clock& clock) {
+  std::vector<iovec> left;
+  for (const std::string_view part : parts)
+    if (!part.empty()) left.push_back({const_cast<char*>(part.data()), part.size()});
+  for (std::size_t first = 0; first < left.size();) {
     msghdr message{};
-    message.msg_iov = parts.data();
-    message.msg_iovlen = parts.size();
+    message.msg_iov = &left[first];
+    message.msg_iovlen = left.size() - first;
     const ssize_t count = ::sendmsg(fd(), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
     if (count < 0) {
       if (errno == EINTR) continue;
@@ -105,13 +105,12 @@
       if (wait_for(fd(), POLLOUT, -1, deadline, clock).first == 0) return Io::late;
       continue;
     }
-    auto sent = static_cast<std::size_t>(count);
-    left -= sent;
-    for (iovec& part : parts) {
-      const std::size_t taken = std::min(sent, part.iov_len);
-      part.iov_base = static_cast<char*>(part.iov_base) + taken;
-      part.iov_len -= taken;
+    for (auto sent = static_cast<std::size_t>(count); sent > 0 && first < left.size();) {
+      const std::size_t taken = std::min(sent, left[first].iov_len);
+      left[first].iov_base = static_cast<char*>(left[first].iov_base) + taken;
+      left[first].iov_len -= taken;
       sent -= taken;
+      if (left[first].iov_len == 0) first += 1;
     }
   }
   return Io::done;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -4,10 +4,10 @@
 #include <sys/socket.h>
 
 #include <cstddef>
-#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "core/clock.hpp"
 
@@ -54,8 +54,8 @@
   bool connect(const Address& address, double within_ms);
   // done: `got` bytes came, at least one.
   Io receive(char* to, std::size_t room, std::size_t& got, double deadline, const core::Clock& clock);
-  // Both parts in as few writes as the kernel takes. done: the last byte was handed over.
-  Io send(std::string_view head, std::string_view body, double deadline, const core::Clock& clock);
+  // All parts in as few writes as the kernel takes. done: the last byte was handed over.
+  Io send(const std::vector<std::string_view>& parts, double deadline, const core::Clock& clock);
   // Open, and nothing has come: a link that stood idle may be used again.
   bool quiet() const;
   void shut(int how = SHUT_RDWR) const { ::shutdown(fd_.get(), how); }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -10,8 +10,11 @@
 
 namespace {
 
-// Standard streams, listener, discovery's link, wake-ups, and links that are about to close.
-constexpr std::size_t kOtherDescriptors = 64;
+// Standard streams, listener, lookout, discovery's link, wake-ups, a config that is read again, and links
+// that are about to close.
+constexpr std::size_t kOtherDescriptors = 32;
+// Measured, and rounded up: the program without links, and a link's thread and state.
+constexpr std::size_t kProgramBytes = 6'000'000, kLinkBytes = 20'000;
 
 // PROTOCOL: new links keep coming for 0.2 to 0.4 s after SIGTERM, and what comes within 0.7 s is owed.
 // SIGKILL comes no sooner than the longest deadline, 3 s at most, plus 0.7 s after it.
@@ -37,12 +40,21 @@
 }  // namespace
 
 Budget::Budget(std::size_t descriptors, std::size_t memory_mb) {
-  // A third each: a client link holds two, its socket and its wake-up.
-  const std::size_t third = (std::max(descriptors, 2 * kOtherDescriptors) - kOtherDescriptors) / 3;
-  // A link of each kind can hold three buffers and two stacks together; the rest of the program needs little.
-  constexpr std::size_t kPair = 3 * net::kBufferBytes + 2 * net::Thread::kStackBytes;
-  const std::size_t affordable = memory_mb * 1'000'000 / 100 * 85 / kPair;
-  client_links = server_links = std::max<std::size_t>(std::min(third, affordable), 1);
+  // Each link holds one descriptor, and a thread of which it touches about kLinkBytes. Clients' queries take
+  // up to a third of the descriptors; each may need a server link, and bad clients come on top of them.
+  const std::size_t for_links = std::max(descriptors, 2 * kOtherDescriptors) - kOtherDescriptors;
+  const std::size_t bytes = memory_mb * 1'000'000 / 100 * 85;
+  const std::size_t for_all = bytes - std::min(bytes, kProgramBytes);
+  // Most queries take one buffer: with one and a half for each client link the links come first.
+  const std::size_t affordable = for_all / (kLinkBytes + net::kBufferBytes);
+  const std::size_t links = std::max<std::size_t>(std::min(for_links, affordable), 8);
+  server_links = links * 2 / 5;
+  client_links = links - server_links;
+  worker_buffers = server_links / 4 + 4;
+  const std::size_t taken = links * kLinkBytes + worker_buffers * net::kBufferBytes;
+  const std::size_t left = (for_all - std::min(for_all, taken)) / net::kBufferBytes;
+  // More than five for each client link are never needed: that is the largest body.
+  client_buffers = std::clamp<std::size_t>(left, 16, 5 * client_links);
 }
 
 void check_addresses(const core::Config& config) {
@@ -57,13 +69,14 @@
       budget_(config.sockets, config.memory_mb),
       listener_(net::Socket::listen_at(net::Address(config.listen))),
       port_(listener_.port()),
-      pool_(budget_.buffers()),
-      hosts_(config.discovery, config.known, clock, inbox_, pool_),
-      servers_(server_limits(config.settings, budget_), clock, inbox_, hosts_, pool_),
+      client_pool_(budget_.client_buffers),
+      worker_pool_(budget_.worker_buffers),
+      hosts_(config.discovery, config.known, clock, inbox_, worker_pool_),
+      servers_(server_limits(config.settings, budget_), clock, inbox_, hosts_, worker_pool_),
       loop_(config.settings, config.class_names, config.seed, clock, inbox_, servers_, hosts_),
       loop_thread_("decisions", [this] { loop_.run(); }),
       stopper_{inbox_},
-      side_{clock, inbox_, pool_},
+      side_{clock, inbox_, client_pool_, lookout_},
       clients_(std::move(listener_), budget_.client_links, side_) {
   side_.ready = true;
   core::log_line("start: " + config.name + " serves at " + config.listen + ", client links " +
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -13,7 +13,9 @@
 struct Budget {
   Budget(std::size_t descriptors, std::size_t memory_mb);
   std::size_t client_links, server_links;
-  std::size_t buffers() const { return client_links + 2 * server_links; }
+  // Clients' queries hold theirs until they are over, workers' answers only while a part of one has come:
+  // apart, so that what clients send cannot keep an answer from being read.
+  std::size_t client_buffers, worker_buffers;
 };
 
 // Throws std::invalid_argument where an address in it cannot be one.
@@ -37,7 +39,7 @@
   const Budget budget_;
   net::Socket listener_;  // opened first: what goes wrong there goes wrong before any thread runs
   const int port_;
-  net::BufferPool pool_;  // before whatever may hold a buffer
+  net::BufferPool client_pool_, worker_pool_;  // before whatever may hold a buffer
   core::Inbox inbox_;
   net::HostGroup hosts_;
   net::ServerLinks servers_;
@@ -47,6 +49,7 @@
     core::Inbox& inbox;
     ~Stopper() { inbox.put(core::Stop{}); }
   } stopper_;
+  net::Lookout lookout_;
   net::ClientSide side_;
   net::ClientLinks clients_;
 };
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -34,14 +34,17 @@
     inbox.put(std::move(message));
     loop->step();
   }
-  std::shared_ptr<Ear> ask(const std::string& id, const std::string& kind, double budget = 5'000) {
+  std::shared_ptr<Ear> hand_in(Query query) {
     auto ear = std::make_shared<Ear>();
+    say(QueryArrived{std::move(query), ear});
+    return ear;
+  }
+  std::shared_ptr<Ear> ask(const std::string& id, const std::string& kind, double budget = 5'000) {
     Query query;
     query.id = id;
     query.class_name = kind;
     query.deadline = clock.now() + budget;
-    say(QueryArrived{std::move(query), ear});
-    return ear;
+    return hand_in(std::move(query));
   }
   void end(int started, Status status, const std::string& result = "") {
     say(ExecutionEnded{paper.started.at(static_cast<std::size_t>(started)).key, status, result});
@@ -101,7 +104,7 @@
 TEST_CASE("after the client has gone nothing is answered, and the outcome still reaches the module") {
   Desk desk(1);
   const auto ear = desk.ask("q", "receipt-check");
-  desk.say(ClientGone{"q"});
+  desk.say(ClientGone{"q", ear});
   desk.end(0, Status::ok, "unheard");
   CHECK(ear->heard.empty());
   // Had the module not heard of it, its slot at the one worker would still be taken.
@@ -126,6 +129,52 @@
   CHECK(desk.paper.started.size() == 1);
 }
 
+// Guards: another client could send a payout once more, or end it by leaving.
+TEST_CASE("an id that comes again leaves its owner's query alone, and runs no second time after its answer") {
+  Desk desk(2);
+  const auto owner = desk.ask("p", "refund-payout");
+  const auto other = desk.ask("p", "refund-payout");
+  desk.say(ClientGone{"p", other});
+  CHECK(owner->heard.empty());
+  desk.end(0, Status::ok, "paid");
+  REQUIRE(owner->heard.size() == 1);
+  CHECK(owner->heard[0].kind == AnswerKind::served);
+  CHECK(desk.ask("p", "refund-payout")->heard.at(0).kind == AnswerKind::bad_query);
+  CHECK(desk.paper.started.size() == 1);
+  // What never ran may come again.
+  Desk empty(0);
+  empty.ask("r", "refund-payout");
+  CHECK(empty.ask("r", "refund-payout")->heard.at(0).kind == AnswerKind::refused);
+}
+
+// Guards the order of the timers, and conversions that are not defined.
+TEST_CASE("a query with a figure that cannot be right never reaches the module") {
+  const double nan = std::numeric_limits<double>::quiet_NaN(), inf = std::numeric_limits<double>::infinity();
+  Desk desk(1);
+  int number = 0;
+  const auto told = [&](double wait, double cost, double slots) {
+    Query query;
+    query.id = std::to_string(number++);
+    query.class_name = "receipt-check";
+    query.deadline = desk.clock.now() + wait;
+    query.cost_ms = cost;
+    query.slots = slots;
+    const auto ear = desk.hand_in(std::move(query));
+    return !ear->heard.empty() && ear->heard[0].kind == AnswerKind::bad_query;
+  };
+  for (const double bad : {nan, inf, -inf}) {
+    CHECK(told(bad, 1, 1));
+    CHECK(told(5'000, bad, 1));
+    CHECK(told(5'000, 1, bad));
+  }
+  CHECK(told(5'000, -1, 1));
+  CHECK(told(5'000, 1, 0));
+  CHECK_FALSE(told(5'000, 1e300, 1));
+  CHECK(desk.paper.started.size() == 1);
+  CHECK(to_micros(nan).count() == 0);
+  CHECK(to_micros(1e300) == to_micros(1e301));
+}
+
 TEST_CASE("a watch that failed is asked for again, by the module") {
   Desk desk(1);
   CHECK(desk.paper.watches == 1);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -209,32 +209,179 @@
   }
 }
 
-TEST_CASE("at the edge the client link that stood idle gives way") {
+// Guards: passed on, each of these could be one query to us and another to the worker.
+TEST_CASE("a head whose fields could be read in two ways, or whose figures are none, is refused") {
+  Served served(Hosts{});
+  const char* const fields[] = {
+      "X-Call-Id: gg\r\n",        "x-call-class: receipt-check\r\n",
+      "X-Budget: 1m\r\n",         "Connection: close, X-Call-Id\r\n",
+      "Connection: x-budget\r\n", "Host: a\r\nHost: b\r\n",
+      "X-Call-Cost: nan\r\n",     "X-Call-Cost: 1e3\r\n",
+      "X-Call-Cost: -1\r\n",      "X-Call-Info: slots=inf\r\n",
+      "X-Call-Info: slots=0\r\n", "X-Call-Cost: 99999999999999999999\r\n",
+      "X-Name: caf\xc3\xa9\r\n",  "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"};
+  const auto ask = [&](const std::string& more, const std::string& budget = "5000m", const char* id = "gg") {
+    return served.ask("POST /api HTTP/1.1\r\nX-Call-Id: " + std::string(id) +
+                      "\r\nX-Call-Class: receipt-check\r\nX-Budget: " + budget + "\r\n" + more + "\r\n");
+  };
+  CHECK(starts(ask("X-Call-Cost: 1500.5\r\nX-Call-Info: key=a,slots=2\r\n"), "HTTP/1.1 503 "));
+  for (const char* more : fields) {
+    CAPTURE(more);
+    CHECK(starts(ask(more), "HTTP/1.1 400 "));
+  }
+  for (const char* budget : {"nanm", "infm", "-5m", "1e5m", "m", "99999999999m", "0x5m", "5s", ""}) {
+    CAPTURE(budget);
+    CHECK(starts(ask("", budget), "HTTP/1.1 400 "));
+  }
+  CHECK(starts(ask("", "5000m", "g g"), "HTTP/1.1 400 "));
+}
+
+TEST_CASE("what Connection names goes no further, and the largest body arrives whole") {
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())});
+  std::string body;
+  while (body.size() < kMostBody) body += std::to_string(body.size()) + ',';
+  body.resize(kMostBody);
+  Peer client = served.client();
+  client.write(
+      "POST /api HTTP/1.1\r\nX-Call-Id: aa\r\nX-Call-Class: receipt-check\r\nX-Budget: 500m\r\n"
+      "Connection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 1\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+  const std::string came = worker.accept().message();
+  CHECK_FALSE(has(came, "X-Hop"));
+  CHECK(has(came, "X-Kept: 1\r\n"));
+  CHECK(came.ends_with("\r\n\r\n" + body));
+}
+
+// Guards: tried at one worker after the other, a bad query would have them all left alone for a while.
+TEST_CASE("a query that a worker finds wrong goes to no other, and the worker stays in use") {
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())});
+  Peer client = served.client();
+  client.write(query_text("ac01", "receipt-check"));
+  Peer link = worker.accept();
+  link.message();
+  link.write("HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n");
+  CHECK(starts(client.message(), "HTTP/1.1 400 "));
+  Peer next = served.client();
+  next.write(query_text("ac02", "receipt-check"));
+  link.message();
+  link.write(done("ac02", "ok"));
+  CHECK(starts(next.message(), "HTTP/1.1 200 "));
+}
+
+// Client links by themselves, the loop's side of them played by the test
+// ----------------------------------------------------------------------
+
+struct Front {
+  explicit Front(std::size_t most, double first_ms = 2'000) {
+    clock.set(kNow);
+    side.first_ms = first_ms;
+    side.ready = true;
+    Socket listener = Socket::listen_at(Address("127.0.0.1:0"));
+    port = listener.port();
+    links.emplace(std::move(listener), most, side);
+  }
+  // So many links stand so; what a thread does behind an answer has been done then.
+  void await(Standing standing, std::size_t count) {
+    const core::Clock real;
+    for (const double end = real.now() + 10'000; links->count(standing) != count;) {
+      REQUIRE(real.now() < end);
+      std::this_thread::yield();
+    }
+  }
+  Peer served() {
+    Peer peer = Peer::to(port);
+    ask(peer);
+    return peer;
+  }
+  static void ask(Peer& peer) {
+    peer.write("GET /health/ready HTTP/1.1\r\n\r\n");
+    CHECK(starts(peer.message(), "HTTP/1.1 200 "));
+  }
+  template <class Kind>
+  Kind next() {
+    for (int tries = 0; come.empty() && tries < 100; ++tries) inbox.wait(100), come = inbox.take();
+    REQUIRE_FALSE(come.empty());
+    const core::Message message = std::move(come.front());
+    come.pop_front();
+    return std::get<Kind>(message);
+  }
+
   core::Clock clock;
   core::Inbox inbox;
-  BufferPool pool(8);
-  ClientSide side{clock, inbox, pool};
-  side.ready = true;
-  Socket listener = Socket::listen_at(Address("127.0.0.1:0"));
-  const int port = listener.port();
-  ClientLinks links(std::move(listener), 1, side);
-  const std::string ask = "GET /health/ready HTTP/1.1\r\n\r\n";
-  Peer first = Peer::to(port);
-  first.write(ask);
-  CHECK(starts(first.message(), "HTTP/1.1 200 "));
-  Peer second = Peer::to(port);
-  second.write(ask);
-  CHECK(starts(second.message(), "HTTP/1.1 200 "));
-  CHECK(first.closed());
+  std::deque<core::Message> come;
+  BufferPool pool{16};
+  Lookout lookout;
+  ClientSide side{clock, inbox, pool, lookout};
+  int port = 0;
+  std::optional<ClientLinks> links;
+};
+
+TEST_CASE("at the edge the link that never completed a query gives way, then the one that stood idle") {
+  Front front(2);
+  Peer first = front.served(), half = Peer::to(front.port);
+  half.write("POST /api HTTP/1.1\r\n");
+  front.await(Standing::reading, 1);
+  Peer third = front.served();
+  CHECK(half.closed());
+  front.await(Standing::idle, 2);
+  Front::ask(first);
+  front.await(Standing::idle, 2);
+  Peer fourth = front.served();
+  CHECK(third.closed());
+  Front::ask(first);
+}
+
+// Guards what clients that send nothing good are owed, an error or a close 3 s from connecting, and that they
+// hold no place for longer. One that drips would renew any limit that counts from its last byte.
+TEST_CASE("a link's first query must have come whole by a limit that counts from accept") {
+  Front front(8, 20);
+  Peer served = front.served(), silent = Peer::to(front.port), dripping = Peer::to(front.port);
+  dripping.write("P");
+  front.await(Standing::reading, 1);
+  front.await(Standing::fresh, 1);
+  front.clock.set(kNow + 19);
+  dripping.write("OST /api");
+  front.clock.set(kNow + 20);
+  CHECK(starts(dripping.message(), "HTTP/1.1 408 "));
+  CHECK(silent.closed());
+  Front::ask(served);
+}
+
+// Guards memory: hundreds of links that say nothing must cost no buffer.
+TEST_CASE("a link without a query holds no buffer") {
+  Front front(8);
+  Peer silent = Peer::to(front.port), served = front.served(), after = front.served();
+  front.await(Standing::idle, 2);
+  CHECK(front.links->open() == 3);
+  CHECK(front.pool.out() == 0);
+}
+
+TEST_CASE("a client that closes while its query is at work is told to the loop, and whose it was") {
+  Front front(8);
+  std::optional<Peer> client = Peer::to(front.port);
+  client->write(query_text("q", "refund-payout"));
+  const auto arrived = front.next<core::QueryArrived>();
+  client.reset();
+  const auto gone = front.next<core::ClientGone>();
+  CHECK(gone.query == "q");
+  CHECK(gone.asker == arrived.asker);
 }
 
 TEST_CASE("links and buffers stay within the descriptors and the memory that are allowed") {
-  for (const std::size_t allowed : {256, 1024, 100'000}) {
-    const Budget budget(allowed, 192);
-    CHECK(2 * budget.client_links + budget.server_links + 50 < allowed);
-    const std::size_t threads = budget.client_links + budget.server_links;
-    CHECK(budget.buffers() * kBufferBytes + threads * Thread::kStackBytes < 165'000'000);
-  }
+  for (const std::size_t allowed : {256, 384, 1024, 100'000})
+    for (const std::size_t memory_mb : {32, 48, 192}) {
+      CAPTURE(allowed);
+      CAPTURE(memory_mb);
+      const Budget budget(allowed, memory_mb);
+      CHECK(budget.client_links + budget.server_links + 30 < allowed);
+      CHECK(budget.client_links >= std::min<std::size_t>(allowed, 1024) / 3);
+      const std::size_t buffers = budget.client_buffers + budget.worker_buffers;
+      CHECK(buffers * kBufferBytes + (budget.client_links + budget.server_links) * 20'000 + 6'000'000 <
+            memory_mb * 1'000'000);
+      CHECK(budget.client_buffers >= budget.client_links);
+    }
 }
 
 // Server links and the host group by themselves
@@ -270,7 +417,7 @@
     core::Execution execution;
     execution.key = {id, 0};
     execution.worker = "w";
-    execution.parcel = {nullptr, "POST", "/api", "X-Call-Id: 1\r\n", "pay"};
+    execution.parcel = {nullptr, "POST", "/api", "X-Call-Id: 1\r\n", {"pay"}};
     execution.deadline = kNow + 60'000;
     servers.start(std::move(execution));
   }
