Count a cancelled or timed-out execution in the pick until it should have ended

Checked: what on(Outcome) counts after a cancel: worker.slots and worker.work fall at once, whatever runs on.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -55,6 +55,14 @@
   bool mute = false;   // a job of ours should have started and did not
 };
 
+// An attempt that we wait for no more: a cancel or a time-out stops nothing, it is still on its worker's
+// slots.
+struct Leftover {
+  Micros until{0};  // when it should be done
+  double slots = 0;
+  Micros work{0};
+};
+
 struct Worker {
   ListEntry entry;
   Kind* kind = nullptr;
@@ -62,6 +70,7 @@
   int jobs = 0;                  // attempts of ours out, with their slots and hinted work
   double slots = 0, running = 0;
   Micros work{0};
+  std::vector<Leftover> left;
   Limiter limiter;
   int intervals = 0;  // that its window has been open
   bool thin = true;   // too few answers to judge it alone: it counts under the limit that such workers share
@@ -257,6 +266,7 @@
     const bool use_barred = nearly_all_barred(job);
     shared_slots_ = slots_out(true);
     for (auto& [name, worker] : workers_) {
+      std::erase_if(worker.left, [this](const Leftover& left) { return left.until <= now_; });
       if (!may_take(worker, job) || !admits(worker, job)) continue;
       const std::optional<int> rank = rank_of(worker, job, use_barred);
       if (!rank || *rank > best_rank) continue;
@@ -301,7 +311,9 @@
   // queue lately cost. It parts workers that have nothing of ours, which most picks at low load are between.
   double work_ahead(const Worker& worker, const Job& job) {
     const double away = worker.entry.zone == settings_.zone ? 0 : settings_.cross_zone_price * kCrossing;
-    const double ours = seconds(worker.work + job.work) * pace_of(worker);
+    Micros work = worker.work + job.work;
+    for (const Leftover& left : worker.left) work += left.work;
+    const double ours = seconds(work) * pace_of(worker);
     const double ahead = ours + kWaitWeight * expected_wait(worker) + away * seconds(job.threshold);
     return ahead * uniform(1 - kPickNoise, 1 + kPickNoise);
   }
@@ -379,6 +391,8 @@
     worker.slots = worker.jobs == 0 ? 0 : worker.slots - job.request.slots;
     worker.work -= job.work;
     if (attempt->began) worker.running = worker.jobs == 0 ? 0 : worker.running - job.request.slots;
+    if (outcome.status == Status::cancelled || outcome.status == Status::timeout)
+      leave(worker, job, *attempt);
     observe(worker, job, *attempt, outcome.status);
     if (Health& health = health_of(worker, job); --health.jobs == 0) health.mute = false;
     if (!proves_not_run(outcome.status) && !job.may_have_run) {
@@ -390,6 +404,14 @@
     drop_if_over(found);
   }
 
+  // One that hangs is on no slot.
+  void leave(Worker& worker, const Job& job, const Attempt& attempt) const {
+    if (health_of(worker, job).mute) return;
+    const Micros begin = attempt.began.value_or(now_ + seconds_span(expected_wait(worker)));
+    const Micros end = begin + seconds_span(seconds(job.work) * pace_of(worker));
+    if (end > now_) worker.left.push_back({end, job.request.slots, job.work});
+  }
+
   static bool proves_not_run(Status status) {
     return status == Status::full || status == Status::connect_failed || status == Status::moot;
   }
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -387,6 +387,19 @@
   EXPECT_TRUE(seen.contains(hung));
 }
 
+// A cancel stops nothing: seen as idle, the worker would draw the next job on top of the one it still runs.
+TEST(Pick, AnAttemptThatWasCutOffStillLoadsItsWorkerForAsLongAsItShouldRun) {
+  Driver d;
+  d.list({entry("w1"), entry("w2")});
+  const std::string loaded = d.ask("cut", 0, 2s);
+  d.finish("cut", Status::cancelled, 0, true);
+  for (int i = 0; i < 5; ++i) EXPECT_NE(d.run("j" + std::to_string(i), 1ms), loaded);
+  d.pass(2s);
+  std::set<std::string> seen;
+  for (int i = 0; i < 20; ++i) seen.insert(d.run("k" + std::to_string(i), 1ms));
+  EXPECT_TRUE(seen.contains(loaded));
+}
+
 TEST(Health, WhenAllLookBadTheFleetIsStillUsed) {
   Driver d;
   d.list({entry("w1"), entry("w2"), entry("w3")});
