--- a/src/node.cpp
+++ b/src/node.cpp
@@ -21,8 +21,8 @@
 // 3 s at most, plus 0.7 s after it, and what came later than 0.7 s must be answered by then.
 constexpr double kAcceptOnMs = 550;
 constexpr double kMostDeadlineMs = 3'000;
-constexpr double kFinishMs = 300;         // then all must be answered: leaves 0.4 s to write and to end
-constexpr double kLastQueriesMs = 1'000;  // time for the last queries taken: most are done in it
+constexpr double kFinishMs = 300;       // then all must be answered: leaves 0.4 s to write and to end
+constexpr double kLastQueriesMs = 700;  // time for the last queries taken: half and more are done in it
 constexpr double kLastAnswersMs = 150;
 
 double longest_deadline(const woadtide::Settings& settings) {
