--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -25,6 +25,7 @@
     config.name = object.value("name", "");
     config.listen = object.at("listen").get<std::string>();
     config.discovery = object.at("discovery").get<std::string>();
+    config.management = object.value("management", "");
     config.seed = read_seed(object.at("seed").get<std::string>());
     if (const auto limits = object.find("limits"); limits != object.end()) {
       config.sockets = limits->value("sockets", config.sockets);
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -13,6 +13,7 @@
 
 struct Config {
   std::string name, listen, discovery;
+  std::string management;  // the second address; empty: none
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 192;  // most that the process may hold
   HostList known;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -84,6 +84,8 @@
     throw std::runtime_error("unknown command '" + command + "'");
   if (path.empty()) throw std::runtime_error("no config file: give --config or set ROUTER_CONFIG");
   auto config = woadtide::core::load_config(path);
+  const char* management = std::getenv("ROUTER_MANAGEMENT");
+  if (config.management.empty() && management) config.management = management;
   woadtide::check_addresses(config);
   if (command == "serve") return serve(std::move(config), path);
   std::cout << path << ": good\n";
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -19,6 +19,13 @@
 constexpr double kReapMs = 1'000;   // threads of ended links are joined this often at least
 constexpr int kMostWaiting = 1024;  // links that the machine may hold for us
 constexpr int kFullMs = 5;          // how long to wait where there is no room, before another look
+// An evacuation: the front asks every 0.1 s whether we are ready and deals out links for 0.2 s after the
+// first no. Links stay open for that long: closed sooner, their clients would be sent here again. By 4 s none
+// may be idle or have a query of the last 2 s.
+constexpr double kSweepMs = 50;
+constexpr double kFrontMs = 400;
+constexpr double kLastFirstMs = 1'500;  // then a link that has not brought its first query goes too
+constexpr double kFirstMs = 500;        // but for those that have just come, as health checks do
 }  // namespace
 
 ClientLinks::ClientLinks(Socket listener, std::size_t most, ClientSide& side)
@@ -45,6 +52,22 @@
 
 void ClientLinks::stop_accepting() {
   stopping_ = true;
+  wake();
+}
+
+void ClientLinks::evacuate() {
+  double never = 0;
+  side_.draining = true;
+  evacuated_at_.compare_exchange_strong(never, side_.clock.now());  // said again it does not begin anew
+  wake();
+}
+
+void ClientLinks::activate() {
+  evacuated_at_ = 0;
+  if (!stopping_) side_.draining = false;
+}
+
+void ClientLinks::wake() {
   const std::uint64_t one = 1;
   if (::write(wake_.get(), &one, sizeof one) < 0) core::log_line("acceptor: cannot be woken");
 }
@@ -95,9 +118,12 @@
 
 void ClientLinks::run() {
   while (!stopping_) {
-    const auto [come, woken] =
-        wait_for(listener_.fd(), POLLIN, wake_.get(), side_.clock.now() + kReapMs, side_.clock);
+    const double until = side_.clock.now() + (evacuated_at_ > 0 ? kSweepMs : kReapMs);
+    const auto [come, woken] = wait_for(listener_.fd(), POLLIN, wake_.get(), until, side_.clock);
+    std::uint64_t count = 0;
+    if (woken != 0 && ::read(wake_.get(), &count, sizeof count) < 0) core::log_line("acceptor: wake-up lost");
     reap();
+    sweep();
     if (come != 0) accept_one();
   }
   // What the machine accepted has been taken: it is answered like all else. Not without end, where clients
@@ -106,10 +132,25 @@
   }
   listener_ = Socket{};
   const std::lock_guard lock(mutex_);
-  while (!at(Standing::idle).empty()) close(*at(Standing::idle).front());
-  for (auto it = at(Standing::fresh).begin(); it != at(Standing::fresh).end();) {
+  const double now = side_.clock.now();
+  close_quiet(Standing::idle, now);
+  close_quiet(Standing::fresh, now);
+}
+
+void ClientLinks::sweep() {
+  const double since = evacuated_at_, now = side_.clock.now();
+  if (since <= 0 || now < since + kFrontMs) return;
+  const std::lock_guard lock(mutex_);
+  close_quiet(Standing::idle, now);
+  if (now < since + kLastFirstMs) return;
+  for (const Standing standing : {Standing::fresh, Standing::reading}) close_quiet(standing, now - kFirstMs);
+}
+
+// Under the mutex. One whose bytes have come is left: its query is answered, and its link closed by that.
+void ClientLinks::close_quiet(Standing standing, double opened_before) {
+  for (auto it = at(standing).begin(); it != at(standing).end();) {
     ClientLink& link = **it++;
-    if (link.socket_.quiet()) close(link);
+    if (link.opened_ <= opened_before && link.socket_.quiet()) close(link);
   }
 }
 
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -25,6 +25,11 @@
   // Takes what the machine has accepted for us by now, then listens no more and closes links as they fall
   // idle. Links with a query at work stay until it is answered.
   void stop_accepting();
+  // Sends clients away without an end: answers close their links, and links are closed as they fall idle,
+  // once the front has heard that we are not ready. The listener stays open. Again, or the other way, at any
+  // time.
+  void evacuate();
+  void activate();
   std::size_t open();
   std::size_t count(Standing standing);
 
@@ -38,6 +43,9 @@
   void end(ClientLink& link);
 
   void run();
+  void wake();
+  void sweep();
+  void close_quiet(Standing standing, double opened_before);
   bool accept_one();
   void make_room();
   ClientLink* oldest_unserved();
@@ -52,6 +60,7 @@
   Socket listener_;
   Fd wake_;
   std::atomic<bool> stopping_{false};
+  std::atomic<double> evacuated_at_{0};  // 0: not at all
   std::mutex mutex_;
   std::condition_variable ended_;
   // By standing, each in the order in which they came to stand so: no walk through all of them at an accept.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "core/log.hpp"
 
@@ -10,9 +11,9 @@
 
 namespace {
 
-// Standard streams, listener, lookout, discovery's link, wake-ups, a config that is read again, and links
-// that are about to close.
-constexpr std::size_t kOtherDescriptors = 32;
+// Standard streams, listeners, lookout, discovery's link, wake-ups, a config that is read again, callers at
+// the second address, and links that are about to close.
+constexpr std::size_t kOtherDescriptors = 28 + net::Management::kMostCallers;
 // Measured, and rounded up: the program without links, and a link's thread and state.
 constexpr std::size_t kProgramBytes = 6'000'000, kLinkBytes = 20'000;
 
@@ -62,6 +63,7 @@
 void check_addresses(const core::Config& config) {
   net::Address(config.listen);
   net::Address(config.discovery);
+  if (!config.management.empty()) net::Address(config.management);
   for (const core::Host& host : config.known.hosts) net::Address(host.dial);
 }
 
@@ -70,7 +72,11 @@
       longest_ms_(longest_deadline(config.settings)),
       budget_(config.sockets, config.memory_mb),
       listener_(net::Socket::listen_at(net::Address(config.listen))),
+      management_listener_(config.management.empty()
+                               ? net::Socket()
+                               : net::Socket::listen_at(net::Address(config.management))),
       port_(listener_.port()),
+      management_port_(management_listener_ ? management_listener_.port() : 0),
       client_pool_(budget_.client_buffers),
       worker_pool_(budget_.worker_buffers),
       hosts_(config.discovery, config.known, clock, inbox_, worker_pool_),
@@ -81,6 +87,9 @@
       side_{clock, inbox_, client_pool_, lookout_},
       clients_(std::move(listener_), budget_.client_links, side_) {
   side_.ready = true;
+  if (management_listener_)
+    management_.emplace(std::move(management_listener_), clock,
+                        [this](auto call, auto argument) { return answer_call(call, argument); });
   core::log_line("start: " + config.name + " serves at " + config.listen + ", client links " +
                  std::to_string(budget_.client_links) + ", server links " +
                  std::to_string(budget_.server_links));
@@ -91,11 +100,36 @@
   core::log_line("reload: done, discovery at " + config.discovery);
 }
 
+std::string Node::answer_call(std::string_view call, std::string_view argument) {
+  if (!argument.empty()) return "error no such call\n";
+  if (call == "readyz") return side_.ready ? "done ready\n" : "error not ready\n";
+  if (call == "evacuate") return set_evacuated(true);
+  if (call == "activate") return set_evacuated(false);
+  return "error no such call\n";
+}
+
+std::string Node::set_evacuated(bool evacuated) {
+  const std::lock_guard lock(state_mutex_);
+  if (ending_) return "error this process is ending\n";
+  if (evacuated != std::exchange(evacuated_, evacuated))
+    core::log_line(evacuated ? "evacuate: clients are sent away" : "activate: clients are taken again");
+  side_.ready = !evacuated;
+  if (evacuated)
+    clients_.evacuate();
+  else
+    clients_.activate();
+  return "done\n";
+}
+
 void Node::finish() {
   const double told = clock_.now();
   const double last = told + std::min(longest_ms_, kMostDeadlineMs) + kFinishMs;
   core::log_line("end: SIGTERM, " + std::to_string(clients_.open()) + " client links open");
-  side_.ready = false;
+  {
+    const std::lock_guard lock(state_mutex_);
+    ending_ = true;
+    side_.ready = false;
+  }
   const auto pause_until = [this](double until, bool while_open) {
     while (clock_.now() < until && (!while_open || clients_.open() > 0)) ::poll(nullptr, 0, 10);
   };
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -1,10 +1,16 @@
 // One whole dispatcher: the parts put together, from its config to its end.
 #pragma once
 
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
 #include "core/config.hpp"
 #include "core/decision_loop.hpp"
 #include "net/client_links.hpp"
 #include "net/host_group.hpp"
+#include "net/management.hpp"
 #include "net/server_links.hpp"
 
 namespace woadtide {
@@ -27,6 +33,7 @@
   Node(core::Config config, core::Clock& clock);
 
   int port() const { return port_; }
+  int management_port() const { return management_port_; }
   // A new config, on SIGHUP. Only discovery's address is taken over: all else was built upon at the start.
   // Throws std::invalid_argument, with nothing changed, where it cannot be an address.
   void reload(const core::Config& config);
@@ -34,11 +41,15 @@
   void finish();
 
  private:
+  std::string answer_call(std::string_view call, std::string_view argument);
+  std::string set_evacuated(bool evacuated);
+
   core::Clock& clock_;
   const double longest_ms_;  // longest deadline of a class
   const Budget budget_;
   net::Socket listener_;  // opened first: what goes wrong there goes wrong before any thread runs
-  const int port_;
+  net::Socket management_listener_;
+  const int port_, management_port_;
   net::BufferPool client_pool_, worker_pool_;  // before whatever may hold a buffer
   core::Inbox inbox_;
   net::HostGroup hosts_;
@@ -52,6 +63,9 @@
   net::Lookout lookout_;
   net::ClientSide side_;
   net::ClientLinks clients_;
+  std::mutex state_mutex_;
+  bool ending_ = false, evacuated_ = false;
+  std::optional<net::Management> management_;  // last: its threads use all the others
 };
 
 }  // namespace woadtide
--- a/tests/node_harness.hpp
+++ b/tests/node_harness.hpp
@@ -92,6 +92,7 @@
   return {{"name", "n0"},
           {"listen", "127.0.0.1:0"},
           {"discovery", discovery},
+          {"management", "127.0.0.1:0"},
           {"seed", "8c1f30d27a5be964"},
           {"limits", {{"sockets", 256}}},
           {"known", {{"seq", 41}, {"whole", true}, {"hosts", std::move(hosts)}}},
@@ -147,6 +148,14 @@
     return clock;
   }
   Peer client() { return Peer::to(node.port()); }
+  // One line to the second address, and all of its answer.
+  std::string call(const std::string& line) {
+    Peer link = Peer::to(node.management_port());
+    link.write(line);
+    while (link.read_some()) {
+    }
+    return link.come;
+  }
   // One query on a link of its own.
   std::string ask(const std::string& text) {
     Peer link = client();
