Take over from a running process in an upgrade: passed socket, shared budget, known ids

Ruled out: an accept queue that is lost with the old process (the platform holds the socket; it is closed, never shut).

Now net::Succession (a Unix socket in $TMPDIR) tells each process of the other; Node::share_out splits links, buffers and the module's turns at cold workers, and widens them at the other's end; on SIGTERM with another ready process ClientLinks::leave_to_other leaves the queue and the health checks to it.

--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -122,12 +122,17 @@
   Status status = Status::ok;
   std::optional<LoadReport> load;
 };
+// How many processes send as this dispatcher, in an upgrade: what is due to a cold worker is due to them
+// together.
+struct Sharers {
+  int processes = 1;
+};
 struct TimerFired {
   std::string token;
 };
 
 using Event = std::variant<ListUpdate, Request, RequestGone, Outcome, StreamStarted, JobStarted, JobProgress,
-                           ProbeResult, TimerFired>;
+                           ProbeResult, Sharers, TimerFired>;
 
 // Actions -----------------------------------------------------------------------------------------------
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -526,6 +526,8 @@
                 : wait <= slack(job, *other);
   }
 
+  void on(const Sharers& now) { sharers_ = std::max(now.processes, 1); }
+
   template <class Unused>
   void on(const Unused&) {}
 
@@ -592,7 +594,7 @@
     if (mean_load_ <= 0) return false;
     // Jobs in a span, by what it has for certain: the cores that its kind has shown, at its share.
     const double whole = kTurnMargin * settings_.fall_multiple * seconds(settings_.fall_after) *
-                         worker.kind->cores / (mean_load_ * usual_pace(worker));
+                         worker.kind->cores / (mean_load_ * usual_pace(worker) * sharers_);
     const double jobs = std::max(1.0, whole * warm_share(worker));
     // One heavy job can spend all that a span allows: how heavy a job may be grows with the capacity.
     if (load_of(job) > mean_load_ * std::sqrt(jobs)) return false;
@@ -674,6 +676,7 @@
   bool started_ = false;
   bool listening_ = false;  // subscribed to the list, as far as we know
   int asks_failed_ = 0;
+  int sharers_ = 1;  // processes that take our turns at cold workers
   std::map<std::string, Worker> workers_;
   std::map<std::string, Job> jobs_;
   std::vector<Micros> class_work_;  // usual latency of each class, for jobs without a hint
--- a/src/core/config.hpp
+++ b/src/core/config.hpp
@@ -14,6 +14,8 @@
 struct Config {
   std::string name, listen, discovery;
   std::string management;  // the second address; empty: none
+  int passed_socket = -1;  // where the platform listens for us: its descriptor
+  std::string folder;      // that all processes of this dispatcher have; empty: none
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 192;  // most that the process may hold
   HostList known;
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -17,13 +17,14 @@
 
 DecisionLoop::DecisionLoop(woadtide::Settings settings, std::vector<std::string> class_names,
                            std::uint64_t seed, Clock& clock, Inbox& inbox, Executor& executor,
-                           HostSource& hosts)
+                           HostSource& hosts, Kin& kin)
     : class_names_(std::move(class_names)),
       dispatcher_(std::move(settings), seed),
       clock_(clock),
       inbox_(inbox),
       executor_(executor),
       hosts_(hosts),
+      kin_(kin),
       counted_since_(clock.now()) {}
 
 void DecisionLoop::run() {
@@ -75,6 +76,7 @@
   }
   queries_.emplace(query.id, Open{std::move(message.asker), std::move(query.parcel), query.deadline, {}});
   timers_.emplace(query.deadline, Timer{query.id, kWholeQuery});
+  kin_.tell({Word::Kind::query, query.id});
   woadtide::Request request;
   request.id = query.id;
   request.class_index = static_cast<std::size_t>(name - class_names_.begin());
@@ -146,6 +148,19 @@
 
 void DecisionLoop::take(ListTold& message) { feed(message.update); }
 
+// An id in work at one process, or known from before, must not run at the other.
+void DecisionLoop::take(KinJoined&) {
+  for (const auto& [id, open] : queries_) kin_.tell({Word::Kind::query, id});
+  for (const std::string& id : spent_.all()) kin_.tell({Word::Kind::query, id});
+  kin_.tell({Word::Kind::told});
+}
+
+void DecisionLoop::take(KinSaid& message) {
+  if (message.word.kind == Word::Kind::query) spent_.add(message.word.id);
+}
+
+void DecisionLoop::take(Sharers& message) { feed(woadtide::Sharers{message.processes}); }
+
 void DecisionLoop::take(FinishAll&) {
   std::vector<std::string> unsettled;
   for (const auto& [id, open] : queries_)
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -20,7 +20,7 @@
 class DecisionLoop {
  public:
   DecisionLoop(woadtide::Settings settings, std::vector<std::string> class_names, std::uint64_t seed,
-               Clock& clock, Inbox& inbox, Executor& executor, HostSource& hosts);
+               Clock& clock, Inbox& inbox, Executor& executor, HostSource& hosts, Kin& kin);
 
   // Until a Stop comes.
   void run();
@@ -54,6 +54,7 @@
    public:
     bool contains(const std::string& id) const { return ids_.contains(id); }
     void add(const std::string& id);
+    const std::deque<std::string>& all() const { return oldest_first_; }
 
    private:
     static constexpr std::size_t kMost = 8192;  // minutes of the busiest traffic, some 1 MB
@@ -68,6 +69,9 @@
   void take(ExecutionEnded& message);
   void take(ProbeEnded& message);
   void take(ListTold& message);
+  void take(KinJoined& message);
+  void take(KinSaid& message);
+  void take(Sharers& message);
   void take(FinishAll& message);
   void take(Stop& message);
 
@@ -97,6 +101,7 @@
   Inbox& inbox_;
   Executor& executor_;
   HostSource& hosts_;
+  Kin& kin_;
   Queries queries_;
   Spent spent_;
   std::multimap<double, Timer> timers_;
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "core/clock.hpp"
+#include "core/kin.hpp"
 #include "core/query.hpp"
 
 namespace woadtide::core {
@@ -41,11 +42,18 @@
 struct ListTold {
   woadtide::ListUpdate update;
 };
+struct KinJoined {};  // another process of this dispatcher lives: it is told all that it must know
+struct KinSaid {
+  Word word;
+};
+struct Sharers {  // how many processes of this dispatcher live
+  int processes = 1;
+};
 struct FinishAll {};  // the process is about to end: what is still open is answered now
 struct Stop {};       // ends DecisionLoop::run
 
 using Message = std::variant<QueryArrived, ClientGone, ExecutionStarted, ExecutionProgress, ExecutionEnded,
-                             ProbeEnded, ListTold, FinishAll, Stop>;
+                             ProbeEnded, ListTold, KinJoined, KinSaid, Sharers, FinishAll, Stop>;
 
 class Inbox {
  public:
--- /dev/null
+++ b/src/core/kin.hpp
@@ -0,0 +1,28 @@
+// What two processes of one dispatcher tell each other while both live, as in an upgrade.
+#pragma once
+
+#include <string>
+
+namespace woadtide::core {
+
+struct Word {
+  enum class Kind {
+    exclude,  // a worker, by an operator
+    include,  // the same worker again
+    query,    // an id that was taken: it must not run at the other too
+    told,     // all that was to tell at the start has been told
+    ready,    // takes clients
+    unready,  // takes none
+  };
+  Kind kind = Kind::told;
+  std::string id = {};
+};
+
+class Kin {
+ public:
+  virtual ~Kin() = default;
+  // To all processes that there are besides this one. Must not block.
+  virtual void tell(const Word& word) = 0;
+};
+
+}  // namespace woadtide::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <boost/program_options.hpp>
+#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <stdexcept>
+#include <string>
 #include <system_error>
 #include <utility>
 
@@ -22,6 +24,14 @@
 
 constexpr int kBadUse = 2;
 
+int descriptor(const std::string& text) {
+  int value = -1;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || value < 0)
+    throw std::runtime_error("ROUTER_PASSED_SOCKET is no descriptor: '" + text + "'");
+  return value;
+}
+
 // A file that cannot be used changes nothing: the old config stays.
 void reload(woadtide::Node& node, const std::string& path) {
   try {
@@ -86,6 +96,8 @@
   auto config = woadtide::core::load_config(path);
   const char* management = std::getenv("ROUTER_MANAGEMENT");
   if (config.management.empty() && management) config.management = management;
+  if (const char* passed = std::getenv("ROUTER_PASSED_SOCKET")) config.passed_socket = descriptor(passed);
+  if (const char* folder = std::getenv("TMPDIR")) config.folder = folder;
   woadtide::check_addresses(config);
   if (command == "serve") return serve(std::move(config), path);
   std::cout << path << ": good\n";
--- a/src/net/buffer_pool.hpp
+++ b/src/net/buffer_pool.hpp
@@ -44,7 +44,7 @@
   // Waits while `most` are out, until `until` at the longest: memory stays bounded whatever comes in.
   std::optional<Buffer> take(double until, const core::Clock& clock) {
     std::unique_lock lock(mutex_);
-    while (free_.empty() && made_ == most_) {
+    while (free_.empty() && made_ >= most_) {
       const double left = until - clock.now();
       if (left <= 0) return std::nullopt;
       came_back_.wait_for(lock, std::chrono::duration<double, std::milli>(std::min(left, kLookMs)));
@@ -57,6 +57,13 @@
     free_.pop_back();
     return Buffer{*this, std::move(bytes)};
   }
+  // Another bound from here on: buffers over it go as they come back.
+  void set_most(std::size_t most) {
+    const std::lock_guard lock(mutex_);
+    most_ = most;
+    while (made_ > most_ && !free_.empty()) free_.pop_back(), made_ -= 1;
+    came_back_.notify_all();
+  }
   std::size_t out() const {
     const std::lock_guard lock(mutex_);
     return made_ - free_.size();
@@ -67,11 +74,14 @@
   static constexpr double kLookMs = 100;  // the clock may have been set meanwhile
   void put_back(std::unique_ptr<char[]> bytes) {
     const std::lock_guard lock(mutex_);
-    free_.push_back(std::move(bytes));
+    if (made_ > most_)
+      made_ -= 1;
+    else
+      free_.push_back(std::move(bytes));
     came_back_.notify_one();
   }
 
-  const std::size_t most_;
+  std::size_t most_;
   mutable std::mutex mutex_;
   std::condition_variable came_back_;
   std::size_t made_ = 0;
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -33,12 +33,16 @@
   if (!wake_) throw std::system_error(errno, std::generic_category(), "eventfd");
   // A client that gave up between poll and accept must not block the acceptor.
   ::fcntl(listener_.fd(), F_SETFL, O_NONBLOCK);
+}
+
+void ClientLinks::start() {
   thread_ = Thread("acceptor", [this] { run(); });
 }
 
 // No link may be torn down while its thread could still say where it stands.
 ClientLinks::~ClientLinks() {
-  stop_accepting();
+  stopping_ = over_ = true;
+  wake();
   thread_.join();
   std::unique_lock lock(mutex_);
   for (Links& links : links_)
@@ -51,10 +55,25 @@
 }
 
 void ClientLinks::stop_accepting() {
+  side_.draining = true;
+  evacuated_at_ = side_.clock.now() - kLastFirstMs;
   stopping_ = true;
   wake();
 }
 
+void ClientLinks::leave_to_other() {
+  left_to_other_ = true;
+  side_.draining = true;
+  evacuated_at_ = side_.clock.now() - kFrontMs;
+  stopping_ = true;
+  wake();
+}
+
+void ClientLinks::set_most(std::size_t most) {
+  most_ = most;
+  wake();
+}
+
 void ClientLinks::evacuate() {
   double never = 0;
   side_.draining = true;
@@ -117,30 +136,32 @@
 }
 
 void ClientLinks::run() {
-  while (!stopping_) {
+  while (!over_) {
     const double until = side_.clock.now() + (evacuated_at_ > 0 ? kSweepMs : kReapMs);
     const auto [come, woken] = wait_for(listener_.fd(), POLLIN, wake_.get(), until, side_.clock);
     std::uint64_t count = 0;
     if (woken != 0 && ::read(wake_.get(), &count, sizeof count) < 0) core::log_line("acceptor: wake-up lost");
     reap();
+    if (come != 0 && !stopping_) accept_one();
+    if (stopping_ && listener_) {
+      // What the machine accepted has been taken: it is answered like all else. Not without end, where
+      // clients connect as fast as they are turned away. Closed, not shut down: another process may listen
+      // there too.
+      if (!left_to_other_)
+        for (int left = kMostWaiting; left > 0 && accept_one(); --left) {
+        }
+      listener_ = Socket{};
+    }
     sweep();
-    if (come != 0) accept_one();
-  }
-  // What the machine accepted has been taken: it is answered like all else. Not without end, where clients
-  // connect as fast as they are turned away.
-  for (int left = kMostWaiting; left > 0 && accept_one(); --left) {
   }
-  listener_ = Socket{};
-  const std::lock_guard lock(mutex_);
-  const double now = side_.clock.now();
-  close_quiet(Standing::idle, now);
-  close_quiet(Standing::fresh, now);
 }
 
 void ClientLinks::sweep() {
   const double since = evacuated_at_, now = side_.clock.now();
-  if (since <= 0 || now < since + kFrontMs) return;
   const std::lock_guard lock(mutex_);
+  while (open_here() - closing_ > most_ && shed_one()) {
+  }
+  if (since <= 0 || now < since + kFrontMs) return;
   close_quiet(Standing::idle, now);
   if (now < since + kLastFirstMs) return;
   for (const Standing standing : {Standing::fresh, Standing::reading}) close_quiet(standing, now - kFirstMs);
@@ -192,15 +213,18 @@
                      std::to_string(at(Standing::fresh).size() + at(Standing::reading).size()) +
                      " unserved, " + std::to_string(at(Standing::idle).size()) + " idle");
     // One at a time: what was told to close is about to make the room.
-    if (closing_ == 0) {
-      ClientLink* shed = oldest_unserved();
-      if (!shed && !at(Standing::idle).empty()) shed = at(Standing::idle).front().get();
-      if (shed) close(*shed);
-    }
+    if (closing_ == 0) shed_one();
     ended_.wait_for(lock, std::chrono::milliseconds(kFullMs));
   }
 }
 
+bool ClientLinks::shed_one() {
+  ClientLink* shed = oldest_unserved();
+  if (!shed && !at(Standing::idle).empty()) shed = at(Standing::idle).front().get();
+  if (shed) close(*shed);
+  return shed;
+}
+
 // One whose bytes have come, but whose thread had no turn yet, is not silent.
 ClientLink* ClientLinks::oldest_unserved() {
   const Links &fresh = at(Standing::fresh), &reading = at(Standing::reading);
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -16,15 +16,20 @@
 
 class ClientLinks {
  public:
-  // At most `most` links at once; each holds one descriptor.
+  // At most `most` links at once; each holds one descriptor. Accepts from start() on.
   ClientLinks(Socket listener, std::size_t most, ClientSide& side);
   ~ClientLinks();
   ClientLinks(const ClientLinks&) = delete;
   ClientLinks& operator=(const ClientLinks&) = delete;
 
+  void start();
   // Takes what the machine has accepted for us by now, then listens no more and closes links as they fall
   // idle. Links with a query at work stay until it is answered.
   void stop_accepting();
+  // The same, but whoever listens at the same socket takes what waits there.
+  void leave_to_other();
+  // Another bound on links from here on: those over it go as far as no query is at work on them.
+  void set_most(std::size_t most);
   // Sends clients away without an end: answers close their links, and links are closed as they fall idle,
   // once the front has heard that we are not ready. The listener stays open. Again, or the other way, at any
   // time.
@@ -49,6 +54,7 @@
   bool accept_one();
   void make_room();
   ClientLink* oldest_unserved();
+  bool shed_one();
   std::size_t open_here() const;
   Links& at(Standing standing) { return links_[static_cast<std::size_t>(standing)]; }
   void put(ClientLink& link, Standing standing);
@@ -56,10 +62,10 @@
   void reap();
 
   ClientSide& side_;
-  const std::size_t most_;
+  std::atomic<std::size_t> most_;
   Socket listener_;
   Fd wake_;
-  std::atomic<bool> stopping_{false};
+  std::atomic<bool> stopping_{false}, left_to_other_{false}, over_{false};
   std::atomic<double> evacuated_at_{0};  // 0: not at all
   std::mutex mutex_;
   std::condition_variable ended_;
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -73,7 +73,11 @@
   Link* link = idle_link(task);
   if (!link) {
     // No room for a link: nothing was sent, and it says nothing about the worker.
-    if (!make_room()) return report(task, {Status::moot});
+    if (!make_room(limits_.most - 1)) {
+      if (all_busy_.due(clock_.now()))
+        core::log_line("server links: all " + std::to_string(limits_.most) + " are busy");
+      return report(task, {Status::moot});
+    }
     link = &links_.emplace_back();
     try {
       link->thread = Thread("server-link", [this, link] { serve(*link); });
@@ -107,24 +111,27 @@
   return newest;
 }
 
-// At the edge the link that stood idle longest goes first.
-bool ServerLinks::make_room() {
-  std::size_t open = 0;
-  Link* oldest = nullptr;
-  for (Link& link : links_) {
-    if (link.closing) continue;
-    open += 1;
-    if (link.idle && (!oldest || link.idle_since < oldest->idle_since)) oldest = &link;
-  }
-  if (open < limits_.most) return true;
-  if (!oldest) {
-    if (all_busy_.due(clock_.now()))
-      core::log_line("server links: all " + std::to_string(limits_.most) + " are busy");
-    return false;
+// At the edge the links that stood idle longest go first. False where there is none left.
+bool ServerLinks::make_room(std::size_t most) {
+  for (;;) {
+    std::size_t open = 0;
+    Link* oldest = nullptr;
+    for (Link& link : links_) {
+      if (link.closing) continue;
+      open += 1;
+      if (link.idle && (!oldest || link.idle_since < oldest->idle_since)) oldest = &link;
+    }
+    if (open <= most) return true;
+    if (!oldest) return false;
+    oldest->closing = true;
+    oldest->wake.notify_one();
   }
-  oldest->closing = true;
-  oldest->wake.notify_one();
-  return true;
+}
+
+void ServerLinks::set_most(std::size_t most) {
+  const std::lock_guard lock(mutex_);
+  limits_.most = most;
+  make_room(most);
 }
 
 void ServerLinks::reap() {
--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -37,6 +37,8 @@
   void start(core::Execution execution) override;
   void cancel(const core::ExecutionKey& key) override;
   void probe(const std::string& worker) override;
+  // Another bound on links from here on: idle ones over it are closed.
+  void set_most(std::size_t most);
 
  private:
   struct Task {
@@ -64,7 +66,7 @@
   static Ending ending_of(const Head& head);
   void assign(core::Execution execution, bool probe);
   Link* idle_link(const Task& task);
-  bool make_room();
+  bool make_room(std::size_t most);
   void reap();
   void serve(Link& link);
   void carry_out(Link& link, const Task& task);
@@ -78,7 +80,7 @@
   bool is_cancelled(Link& link);
   void set_idle(Link& link, bool reusable);
 
-  const Limits limits_;
+  Limits limits_;  // `most` under the mutex
   core::Clock& clock_;
   core::Inbox& inbox_;
   const HostGroup& hosts_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,5 +1,6 @@
 #include "net/socket.hpp"
 
+#include <fcntl.h>
 #include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -69,6 +70,16 @@
   return socket;
 }
 
+Socket Socket::adopt_listener(int fd) {
+  int listens = 0;
+  socklen_t length = sizeof listens;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &length) != 0 || listens == 0)
+    throw std::runtime_error("descriptor " + std::to_string(fd) +
+                             ", passed to us, is no socket that listens");
+  ::fcntl(fd, F_SETFD, FD_CLOEXEC);
+  return Socket{Fd(fd)};
+}
+
 bool Socket::connect(const Address& address, double within_ms) {
   // On Linux the send timeout bounds a blocking connect too; a shut() from outside ends it early.
   const auto micros = static_cast<long>(std::max(within_ms, 1.0) * 1000);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -51,6 +51,10 @@
   // Throws std::system_error. Port 0 takes a free one.
   static Socket listen_at(const Address& address);
 
+  // A socket that listens already, inherited: from here on its owner is this process. It may be another one's
+  // too: it must never be shut down. Throws std::runtime_error where it does not listen.
+  static Socket adopt_listener(int fd);
+
   bool connect(const Address& address, double within_ms);
   // done: `got` bytes came, at least one.
   Io receive(char* to, std::size_t room, std::size_t& got, double deadline, const core::Clock& clock);
--- /dev/null
+++ b/src/net/succession.cpp
@@ -0,0 +1,240 @@
+#include "net/succession.hpp"
+
+#include <fcntl.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <system_error>
+
+#include "core/log.hpp"
+
+namespace woadtide::net {
+
+using core::Word;
+
+namespace {
+
+constexpr std::size_t kMostOutbox = 1'000'000;  // more than all ids that a process remembers
+constexpr std::size_t kMostPeers = 3;
+constexpr std::array<std::string_view, 6> kNames = {"exclude", "include", "query",
+                                                    "told",    "ready",   "unready"};
+
+// A folder's path may be longer than a socket's may be: then it goes by its descriptor.
+struct Place {
+  Place(const std::string& folder, const std::string& name) : path(folder + '/' + name) {
+    if (path.size() < sizeof(sockaddr_un::sun_path)) return;
+    held = Fd(::open(folder.c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC));
+    path = "/proc/self/fd/" + std::to_string(held.get()) + '/' + name;
+  }
+  template <class Call>
+  bool call(Call&& use, const Socket& socket) const {
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    if (path.size() >= sizeof address.sun_path) return false;
+    std::memcpy(address.sun_path, path.c_str(), path.size() + 1);
+    return use(socket.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+  }
+  std::string path;
+  Fd held;
+};
+
+Socket make() { return Socket{Fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0))}; }
+
+// A folder for all could hold another user's.
+bool is_ours(const Socket& socket) {
+  ucred peer{};
+  socklen_t length = sizeof peer;
+  return ::getsockopt(socket.fd(), SOL_SOCKET, SO_PEERCRED, &peer, &length) == 0 && peer.uid == ::geteuid();
+}
+
+}  // namespace
+
+Succession::Succession(core::Inbox& inbox, std::function<void(std::size_t)> shared)
+    : inbox_(inbox), shared_(std::move(shared)) {}
+
+Succession::~Succession() { end(); }
+
+void Succession::end() {
+  stopping_ = true;
+  if (listener_) listener_.shut();
+  thread_.join();
+  std::list<Peer> ended;
+  const std::lock_guard lock(mutex_);
+  ended.swap(peers_);
+  for (Peer& peer : ended) {
+    peer.socket.shut();
+    peer.wake.notify_all();
+  }
+}
+
+// First to whoever listens there, then the place is taken over: the rename leaves no moment without a
+// listener.
+void Succession::meet(const std::string& folder, const std::string& name, double wait_ms) {
+  Socket link = make(), listener = make();
+  const Place place(folder, name), fresh(folder, name + '.' + std::to_string(::getpid()));
+  if (link && place.call(::connect, link) && is_ours(link)) {
+    core::log_line("upgrade: another process of this dispatcher runs");
+    join(std::move(link));
+  }
+  ::unlink(fresh.path.c_str());
+  if (listener && fresh.call(::bind, listener) && ::listen(listener.fd(), 4) == 0 &&
+      std::rename(fresh.path.c_str(), place.path.c_str()) == 0) {
+    listener_ = std::move(listener);
+    thread_ = Thread("succession", [this] { listen(); });
+  } else {
+    core::log_line("upgrade: no next process can find this one: " + std::generic_category().message(errno));
+  }
+  std::unique_lock lock(mutex_);
+  const bool told = news_.wait_for(lock, std::chrono::duration<double, std::milli>(wait_ms), [this] {
+    return std::all_of(peers_.begin(), peers_.end(), [](const Peer& p) { return p.told || p.over; });
+  });
+  if (!told) core::log_line("upgrade: the other process tells nothing; going on without");
+}
+
+void Succession::listen() {
+  while (!stopping_) {
+    Socket link{Fd(::accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC))};
+    if (!link) {
+      if (errno == EINTR || errno == ECONNABORTED) continue;
+      if (!stopping_) core::log_line("upgrade: " + std::generic_category().message(errno));
+      return;
+    }
+    reap();
+    if (is_ours(link)) join(std::move(link));
+  }
+}
+
+void Succession::join(Socket socket) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (peers_.size() == kMostPeers) return;
+    Peer& peer = peers_.emplace_back();
+    peer.socket = std::move(socket);
+    if (ready_) put(peer, {Word::Kind::ready});
+    alone_ = false;
+    peer.writer = Thread("kin-writer", [this, &peer] { write(peer); });
+    peer.reader = Thread("kin-reader", [this, &peer] { read(peer); });
+  }
+  inbox_.put(core::KinJoined{});
+}
+
+// Until the other one ends, or its process does.
+void Succession::read(Peer& peer) {
+  shared_(processes());
+  std::string come;
+  std::array<char, 4096> bytes{};
+  for (;;) {
+    const ssize_t got = ::recv(peer.socket.fd(), bytes.data(), bytes.size(), 0);
+    if (got < 0 && errno == EINTR) continue;
+    if (got <= 0) break;
+    come.append(bytes.data(), static_cast<std::size_t>(got));
+    std::size_t from = 0;
+    for (std::size_t end; (end = come.find('\n', from)) != std::string::npos; from = end + 1)
+      take(peer, come.substr(from, end - from));
+    come.erase(0, from);
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    peer.over = true;
+    peer.ready = false;
+    alone_ = std::all_of(peers_.begin(), peers_.end(), [](const Peer& p) { return p.over; });
+    peer.wake.notify_all();
+    news_.notify_all();
+  }
+  if (stopping_) return;
+  core::log_line("upgrade: the other process has ended");
+  shared_(processes());
+}
+
+void Succession::write(Peer& peer) {
+  std::unique_lock lock(mutex_);
+  while (!peer.over && !stopping_) {
+    peer.wake.wait(lock, [&] { return peer.over || stopping_ || !peer.outbox.empty(); });
+    const std::string out = std::exchange(peer.outbox, {});
+    lock.unlock();
+    for (std::size_t sent = 0; sent < out.size();) {
+      const ssize_t count = ::send(peer.socket.fd(), out.data() + sent, out.size() - sent, MSG_NOSIGNAL);
+      if (count < 0 && errno == EINTR) continue;
+      if (count <= 0) break;  // its reader sees the end
+      sent += static_cast<std::size_t>(count);
+    }
+    lock.lock();
+  }
+}
+
+void Succession::take(Peer& peer, const std::string& line) {
+  const std::size_t space = std::min(line.find(' '), line.size());
+  const auto name = std::find(kNames.begin(), kNames.end(), std::string_view(line).substr(0, space));
+  if (name == kNames.end()) return;  // another version's
+  Word word{static_cast<Word::Kind>(name - kNames.begin()), line.substr(std::min(space + 1, line.size()))};
+  std::unique_lock lock(mutex_);
+  switch (word.kind) {
+    case Word::Kind::told:
+      peer.told = true;
+      news_.notify_all();
+      return;
+    case Word::Kind::ready:
+    case Word::Kind::unready:
+      peer.ready = word.kind == Word::Kind::ready;
+      return;
+    case Word::Kind::exclude:
+    case Word::Kind::include:
+    case Word::Kind::query:
+      break;
+  }
+  for (Peer& other : peers_)
+    if (&other != &peer) put(other, word);
+  lock.unlock();
+  inbox_.put(core::KinSaid{std::move(word)});
+}
+
+void Succession::put(Peer& peer, const Word& word) {
+  if (peer.over) return;
+  if (peer.outbox.size() > kMostOutbox) return peer.socket.shut();  // it reads nothing: as good as ended
+  peer.outbox.append(kNames[static_cast<std::size_t>(word.kind)]);
+  if (!word.id.empty()) peer.outbox.append(" ").append(word.id);
+  peer.outbox.push_back('\n');
+  peer.wake.notify_all();
+}
+
+void Succession::tell(const Word& word) {
+  if (alone_) return;
+  const std::lock_guard lock(mutex_);
+  for (Peer& peer : peers_) put(peer, word);
+}
+
+void Succession::set_ready(bool ready) {
+  const std::lock_guard lock(mutex_);
+  ready_ = ready;
+  for (Peer& peer : peers_) put(peer, {ready ? Word::Kind::ready : Word::Kind::unready});
+}
+
+bool Succession::other_ready() {
+  const std::lock_guard lock(mutex_);
+  return std::any_of(peers_.begin(), peers_.end(), [](const Peer& p) { return p.ready; });
+}
+
+std::size_t Succession::processes() {
+  const std::lock_guard lock(mutex_);
+  const auto live = std::count_if(peers_.begin(), peers_.end(), [](const Peer& p) { return !p.over; });
+  return 1 + static_cast<std::size_t>(live);
+}
+
+// Threads are joined outside the mutex, which they need for their end.
+void Succession::reap() {
+  std::list<Peer> ended;
+  const std::lock_guard lock(mutex_);
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const auto next = std::next(it);
+    if (it->over) ended.splice(ended.end(), peers_, it);
+    it = next;
+  }
+}
+
+}  // namespace woadtide::net
--- /dev/null
+++ b/src/net/succession.hpp
@@ -0,0 +1,69 @@
+// The other process of this dispatcher, where there is one: in an upgrade the next one starts beside the one
+// that runs. They meet at a Unix socket in a folder that both have, and live together as long as the link
+// between them stands. The kernel ends it for a process that was killed too, and refuses a connect to what it
+// left behind.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+
+#include "core/inbox.hpp"
+#include "core/kin.hpp"
+#include "net/socket.hpp"
+#include "net/thread.hpp"
+
+namespace woadtide::net {
+
+class Succession : public core::Kin {
+ public:
+  // `shared` is called with the number of processes, this one counted, when that has changed.
+  Succession(core::Inbox& inbox, std::function<void(std::size_t processes)> shared);
+  ~Succession() override;
+  Succession(const Succession&) = delete;
+  Succession& operator=(const Succession&) = delete;
+
+  // Meets whoever runs already, and can be found from here on, in `folder`. Waits, `wait_ms` at the longest,
+  // until the other one has told what this one must know.
+  void meet(const std::string& folder, const std::string& name, double wait_ms);
+  // Leaves the others, and calls `shared` no more.
+  void end();
+  void tell(const core::Word& word) override;
+  // Whether this process takes clients; also told to processes that come later.
+  void set_ready(bool ready);
+  // Another one does.
+  bool other_ready();
+
+ private:
+  struct Peer {
+    Socket socket;
+    bool ready = false, told = false, over = false;
+    std::string outbox;  // what is to be written next
+    std::condition_variable wake;
+    Thread reader, writer;  // last: they use all the others
+  };
+
+  void listen();
+  void join(Socket socket);
+  void read(Peer& peer);
+  void write(Peer& peer);
+  void take(Peer& peer, const std::string& line);
+  void put(Peer& peer, const core::Word& word);
+  void reap();
+  std::size_t processes();
+
+  core::Inbox& inbox_;
+  const std::function<void(std::size_t)> shared_;
+  std::mutex mutex_;
+  std::condition_variable news_;
+  std::list<Peer> peers_;
+  std::atomic<bool> alone_{true}, stopping_{false};
+  bool ready_ = false;
+  Socket listener_;
+  Thread thread_;  // last: it uses all the others
+};
+
+}  // namespace woadtide::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -3,9 +3,11 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 #include "core/log.hpp"
+#include "numbers.hpp"
 
 namespace woadtide {
 
@@ -26,6 +28,8 @@
 constexpr double kLastQueriesMs = 700;  // time for the last queries taken: half and more are done in it
 constexpr double kLastAnswersMs = 150;
 
+constexpr double kTellMs = 500;  // for the process that runs already to tell what it knows
+
 double longest_deadline(const woadtide::Settings& settings) {
   double longest = 0;
   for (const auto& kind : settings.classes) longest = std::max(longest, core::to_ms(kind.deadline));
@@ -42,11 +46,12 @@
 
 }  // namespace
 
-Budget::Budget(std::size_t descriptors, std::size_t memory_mb) {
+Budget::Budget(std::size_t descriptors, std::size_t memory_mb, std::size_t processes) {
+  descriptors /= processes;
   // Each link holds one descriptor, and a thread of which it touches about kLinkBytes. Clients' queries take
   // up to a third of the descriptors; each may need a server link, and bad clients come on top of them.
   const std::size_t for_links = std::max(descriptors, 2 * kOtherDescriptors) - kOtherDescriptors;
-  const std::size_t bytes = memory_mb * 1'000'000 / 100 * 85;
+  const std::size_t bytes = memory_mb * 1'000'000 / 100 * 85 / processes;
   const std::size_t for_all = bytes - std::min(bytes, kProgramBytes);
   // Most queries take one buffer: with one and a half for each client link the links come first.
   const std::size_t affordable = for_all / (kLinkBytes + net::kBufferBytes);
@@ -70,8 +75,11 @@
 Node::Node(core::Config config, core::Clock& clock)
     : clock_(clock),
       longest_ms_(longest_deadline(config.settings)),
-      budget_(config.sockets, config.memory_mb),
-      listener_(net::Socket::listen_at(net::Address(config.listen))),
+      sockets_(config.sockets),
+      memory_mb_(config.memory_mb),
+      budget_(sockets_, memory_mb_),
+      listener_(config.passed_socket >= 0 ? net::Socket::adopt_listener(config.passed_socket)
+                                          : net::Socket::listen_at(net::Address(config.listen))),
       management_listener_(config.management.empty()
                                ? net::Socket()
                                : net::Socket::listen_at(net::Address(config.management))),
@@ -81,12 +89,22 @@
       worker_pool_(budget_.worker_buffers),
       hosts_(config.discovery, config.known, clock, inbox_, worker_pool_),
       servers_(server_limits(config.settings, budget_), clock, inbox_, hosts_, worker_pool_),
-      loop_(config.settings, config.class_names, config.seed, clock, inbox_, servers_, hosts_),
+      kin_(inbox_, [this](std::size_t processes) { share_out(processes); }),
+      loop_(config.settings, config.class_names, config.seed, clock, inbox_, servers_, hosts_, kin_),
       loop_thread_("decisions", [this] { loop_.run(); }),
       stopper_{inbox_},
       side_{clock, inbox_, client_pool_, lookout_},
       clients_(std::move(listener_), budget_.client_links, side_) {
+  if (!config.folder.empty()) {
+    // The address tells apart dispatchers that happen to share a folder.
+    char name[40];
+    std::snprintf(name, sizeof name, "woadtide-%016llx",
+                  static_cast<unsigned long long>(hash_of(config.name + ' ' + config.listen)));
+    kin_.meet(config.folder, name, kTellMs);
+  }
+  clients_.start();
   side_.ready = true;
+  kin_.set_ready(true);
   if (management_listener_)
     management_.emplace(std::move(management_listener_), clock,
                         [this](auto call, auto argument) { return answer_call(call, argument); });
@@ -100,9 +118,27 @@
   core::log_line("reload: done, discovery at " + config.discovery);
 }
 
+Node::~Node() { kin_.end(); }  // before all that share_out() touches
+
+// Two processes are one dispatcher to the platform: together they stay within what it allows.
+void Node::share_out(std::size_t processes) {
+  const Budget budget(sockets_, memory_mb_, processes);
+  clients_.set_most(budget.client_links);
+  servers_.set_most(budget.server_links);
+  client_pool_.set_most(budget.client_buffers);
+  worker_pool_.set_most(budget.worker_buffers);
+  inbox_.put(core::Sharers{static_cast<int>(processes)});
+  core::log_line("upgrade: " + std::to_string(processes) + " process(es), client links " +
+                 std::to_string(budget.client_links) + ", server links " +
+                 std::to_string(budget.server_links));
+}
+
 std::string Node::answer_call(std::string_view call, std::string_view argument) {
   if (!argument.empty()) return "error no such call\n";
-  if (call == "readyz") return side_.ready ? "done ready\n" : "error not ready\n";
+  if (call == "readyz") {
+    const std::lock_guard lock(state_mutex_);
+    return !ending_ && !evacuated_ ? "done ready\n" : "error not ready\n";
+  }
   if (call == "evacuate") return set_evacuated(true);
   if (call == "activate") return set_evacuated(false);
   return "error no such call\n";
@@ -114,6 +150,7 @@
   if (evacuated != std::exchange(evacuated_, evacuated))
     core::log_line(evacuated ? "evacuate: clients are sent away" : "activate: clients are taken again");
   side_.ready = !evacuated;
+  kin_.set_ready(!evacuated);
   if (evacuated)
     clients_.evacuate();
   else
@@ -128,14 +165,20 @@
   {
     const std::lock_guard lock(state_mutex_);
     ending_ = true;
-    side_.ready = false;
+    // Whoever asks for health at the clients' address, over a link to us, asks for the other process too.
+    side_.ready = hands_over();
+    kin_.set_ready(false);
   }
   const auto pause_until = [this](double until, bool while_open) {
     while (clock_.now() < until && (!while_open || clients_.open() > 0)) ::poll(nullptr, 0, 10);
   };
-  pause_until(std::max(told + kAcceptOnMs, last - kLastQueriesMs), false);
-  side_.draining = true;
-  clients_.stop_accepting();
+  if (side_.ready) {
+    core::log_line("end: the next process takes the clients");
+    clients_.leave_to_other();
+  } else {
+    pause_until(std::max(told + kAcceptOnMs, last - kLastQueriesMs), false);
+    clients_.stop_accepting();
+  }
   pause_until(clock_.now() + kLastAnswersMs, false);
   pause_until(last, true);
   inbox_.put(core::FinishAll{});
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -12,12 +12,14 @@
 #include "net/host_group.hpp"
 #include "net/management.hpp"
 #include "net/server_links.hpp"
+#include "net/succession.hpp"
 
 namespace woadtide {
 
 // How the descriptors and the memory that the platform allows are shared out.
 struct Budget {
-  Budget(std::size_t descriptors, std::size_t memory_mb);
+  // `processes`: of this dispatcher, which share it.
+  Budget(std::size_t descriptors, std::size_t memory_mb, std::size_t processes = 1);
   std::size_t client_links, server_links;
   // Clients' queries hold theirs until they are over, workers' answers only while a part of one has come:
   // apart, so that what clients send cannot keep an answer from being read.
@@ -31,22 +33,27 @@
  public:
   // Listens and serves from here on. Throws std::system_error where it cannot.
   Node(core::Config config, core::Clock& clock);
+  ~Node();
 
   int port() const { return port_; }
   int management_port() const { return management_port_; }
   // A new config, on SIGHUP. Only discovery's address is taken over: all else was built upon at the start.
   // Throws std::invalid_argument, with nothing changed, where it cannot be an address.
   void reload(const core::Config& config);
+  // Whether another process of this dispatcher takes the clients when this one ends.
+  bool hands_over() { return kin_.other_ready(); }
   // The planned end, from SIGTERM on: answers all that was taken, then returns.
   void finish();
 
  private:
   std::string answer_call(std::string_view call, std::string_view argument);
   std::string set_evacuated(bool evacuated);
+  void share_out(std::size_t processes);
 
   core::Clock& clock_;
   const double longest_ms_;  // longest deadline of a class
-  const Budget budget_;
+  const std::size_t sockets_, memory_mb_;
+  const Budget budget_;   // of a process that is alone
   net::Socket listener_;  // opened first: what goes wrong there goes wrong before any thread runs
   net::Socket management_listener_;
   const int port_, management_port_;
@@ -54,6 +61,7 @@
   core::Inbox inbox_;
   net::HostGroup hosts_;
   net::ServerLinks servers_;
+  net::Succession kin_;
   core::DecisionLoop loop_;
   net::Thread loop_thread_;
   struct Stopper {  // goes before the thread that it stops
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -4,13 +4,15 @@
 namespace woadtide::core {
 namespace {
 
-struct Paper : Executor, HostSource {
+struct Paper : Executor, HostSource, Kin {
   void start(Execution execution) override { started.push_back(std::move(execution)); }
   void cancel(const ExecutionKey& key) override { cancelled.push_back(key); }
   void probe(const std::string&) override {}
   void watch() override { watches += 1; }
+  void tell(const Word& word) override { told.push_back(word); }
   std::vector<Execution> started;
   std::vector<ExecutionKey> cancelled;
+  std::vector<Word> told;
   int watches = 0;
 };
 
@@ -25,7 +27,7 @@
     for (int i = 0; i < workers; ++i) hosts.push_back(host_json("w" + std::to_string(i), "127.0.0.1:1"));
     Config config = read_config(config_json(hosts, "127.0.0.1:1"));
     clock.set(kNow);
-    loop.emplace(config.settings, config.class_names, config.seed, clock, inbox, paper, paper);
+    loop.emplace(config.settings, config.class_names, config.seed, clock, inbox, paper, paper, paper);
     ListTold told{{ListKind::remembered, {}}};
     for (const Host& host : config.known.hosts) told.update.entries.push_back(host.entry);
     say(told);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -281,6 +281,7 @@
     Socket listener = Socket::listen_at(Address("127.0.0.1:0"));
     port = listener.port();
     links.emplace(std::move(listener), most, side);
+    links->start();
   }
   // So many links stand so; what a thread does behind an answer has been done then.
   void await(Standing standing, std::size_t count) {
--- /dev/null
+++ b/tests/succession_test.cpp
@@ -0,0 +1,109 @@
+// Two processes of one dispatcher, played by two nodes that were passed the same listening socket.
+#include <atomic>
+#include <filesystem>
+#include <thread>
+
+#include "node_harness.hpp"
+
+namespace woadtide {
+namespace {
+
+bool starts(const std::string& text, const std::string& with) { return text.rfind(with, 0) == 0; }
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+struct Platform {
+  Platform() {
+    char name[] = "/tmp/woadtide-test-XXXXXX";
+    REQUIRE(::mkdtemp(name));
+    folder = name;
+    clock.set(kNow);
+  }
+  ~Platform() { std::filesystem::remove_all(folder); }
+  std::unique_ptr<Node> start(Hosts hosts) {
+    core::Config config = core::read_config(config_json(std::move(hosts), discovery.dial()));
+    config.passed_socket = ::dup(listener.socket.fd());
+    config.folder = folder;
+    return std::make_unique<Node>(config, clock);
+  }
+  Peer client() { return Peer::to(listener.socket.port()); }
+  // Of one node, however its calls fall.
+  static std::string call(const Node& node, const std::string& line) {
+    Peer link = Peer::to(node.management_port());
+    link.write(line);
+    while (link.read_some()) {
+    }
+    return link.come;
+  }
+
+  Port listener, discovery, worker;
+  core::Clock clock;
+  std::string folder;
+};
+
+// Guards what an upgrade must not lose: what the old process has taken is answered, what waits or comes is
+// the new one's, and the socket that both listen at outlives the old one.
+TEST_CASE("in an upgrade the old process answers what it has, and the new one takes all that comes") {
+  Platform platform;
+  const Hosts hosts{host_json("w", platform.worker.dial())};
+  auto old = platform.start(hosts);
+  Peer busy = platform.client(), idle = platform.client();
+  busy.write(query_text("a1", "refund-payout"));
+  Peer first = platform.worker.accept();
+  first.message();
+  idle.write("GET /health/ready HTTP/1.1\r\n\r\n");
+  CHECK(starts(idle.message(), "HTTP/1.1 200 "));
+  auto next = platform.start(hosts);
+  CHECK(starts(Platform::call(*old, "readyz\n"), "done"));
+  CHECK(starts(Platform::call(*next, "readyz\n"), "done"));
+  // Its `ready` goes another way than its answer to us.
+  while (!old->hands_over()) std::this_thread::yield();
+  std::atomic<bool> ended{false};
+  std::thread end([&] {
+    old->finish();
+    ended = true;
+  });
+  CHECK(idle.closed());
+  CHECK(starts(Platform::call(*old, "readyz\n"), "error"));
+  Peer late = platform.client();
+  late.write("GET /health/ready HTTP/1.1\r\n\r\n");
+  CHECK(starts(late.message(), "HTTP/1.1 200 "));
+  // Guards a payout against a second run: its id is in work at the other process.
+  late.write(query_text("a1", "refund-payout"));
+  CHECK(starts(late.message(), "HTTP/1.1 400 "));
+  first.write(done("a1", "one"));
+  const std::string answer = busy.message();
+  CHECK(answer.ends_with("\r\n\r\none"));
+  CHECK(has(answer, "Connection: close\r\n"));
+  while (!ended) platform.clock.set(platform.clock.now() + 1);
+  end.join();
+  old.reset();
+  Peer after = platform.client();
+  after.write("GET /health/ready HTTP/1.1\r\n\r\n");
+  CHECK(starts(after.message(), "HTTP/1.1 200 "));
+}
+
+TEST_CASE(
+    "what an ended process left in the folder does no harm, and a descriptor that does not listen is "
+    "refused") {
+  Platform platform;
+  platform.start({}).reset();
+  CHECK_FALSE(std::filesystem::is_empty(platform.folder));
+  auto node = platform.start({});
+  CHECK_FALSE(node->hands_over());
+  CHECK(starts(Platform::call(*node, "readyz\n"), "done"));
+  Peer link = platform.client();
+  CHECK_THROWS_AS(net::Socket::adopt_listener(link.socket.fd()), std::runtime_error);
+  CHECK_THROWS_AS(net::Socket::adopt_listener(12345), std::runtime_error);
+}
+
+TEST_CASE("two processes share one budget, and a bound that shrinks takes idle links away") {
+  for (const std::size_t allowed : {128, 256, 1024})
+    for (const std::size_t memory_mb : {16, 32, 192}) {
+      const Budget both(allowed, memory_mb, 2), alone(allowed, memory_mb);
+      CHECK(2 * (both.client_links + both.server_links) <= alone.client_links + alone.server_links);
+      CHECK(2 * both.client_buffers <= alone.client_buffers + 32);
+    }
+}
+
+}  // namespace
+}  // namespace woadtide
