Take workers out by hand, in the module and at the last look before a send; count figures for telemetry

Ruled out: a ban kept in the list (the next list would clear it). A process that ended dropped what it had not written to the next one: Succession::end now lets the writer finish.

Design of that part, the figures: the loop keeps totals by class apart from the log's counts; ServerLinks tells of an execution's last byte by a message (ExecutionSent), before its ending, and telemetry is a call like the others: the loop writes the text at that moment. Not taken: atomics that any thread adds to (figures of one answer would not fit each other), and a text made every 0.5 s (older than need be, and work when nobody asks).

--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -97,6 +97,10 @@
 };
 
 enum class Status { ok, error, full, timeout, connect_failed, reset, cancelled, moot };
+// An attempt that ended so never ran: it may be sent again, whatever its class.
+inline bool proves_not_run(Status status) {
+  return status == Status::full || status == Status::connect_failed || status == Status::moot;
+}
 struct Outcome {
   std::string id;
   int attempt = 0;
@@ -122,6 +126,12 @@
   Status status = Status::ok;
   std::optional<LoadReport> load;
 };
+struct Exclude {  // an operator's ban: nothing more to this worker, whatever the list says
+  std::string worker;
+};
+struct Include {  // the worker may serve again; it is taken to be cold
+  std::string worker;
+};
 // How many processes send as this dispatcher, in an upgrade: what is due to a cold worker is due to them
 // together.
 struct Sharers {
@@ -132,7 +142,7 @@
 };
 
 using Event = std::variant<ListUpdate, Request, RequestGone, Outcome, StreamStarted, JobStarted, JobProgress,
-                           ProbeResult, Sharers, TimerFired>;
+                           ProbeResult, Exclude, Include, Sharers, TimerFired>;
 
 // Actions -----------------------------------------------------------------------------------------------
 
@@ -166,6 +176,11 @@
 
 using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, Watch, SetTimer, Log>;
 
+// The workers on the list, draining ones too, and those of them that get nothing now, by hand or by choice.
+struct Census {
+  int listed = 0, avoided = 0;
+};
+
 class Dispatcher {
  public:
   // Throws as check() does.
@@ -178,6 +193,11 @@
   // goes back. The first call may be any event; the list's first copy usually is.
   void handle(Micros now, const Event& event, std::vector<Action>& actions);
 
+  // Whether a worker of this name is known, from the list or by a ban.
+  bool knows(const std::string& worker) const;
+
+  Census census(Micros now) const;
+
   // Slots of ours out at all workers: zero when nothing is out.
   double slots_out() const;
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -17,7 +17,7 @@
 constexpr double kMinLimit = 1;        // one slot: a worker is never shut off by its limit
 constexpr double kMaxLimit = 64;       // far above what a worker holds; stops growth that nothing tests
 constexpr double kFirstShare = 8;  // slots at a worker that all dispatchers share out as their first limits
-constexpr std::size_t kFullSample = 20;        // below this many samples a p95 is the maximum
+constexpr std::size_t kFullSample = 20;        // below this many a p95 is the maximum
 constexpr std::size_t kFewestSamples = 5;      // a window with fewer waits for the next interval
 constexpr int kMostIntervals = 3;              // and no longer than this
 constexpr double kSmoothing = 0.2;             // weight of a new observation in a running mean
@@ -55,8 +55,7 @@
   bool mute = false;   // a job of ours should have started and did not
 };
 
-// An attempt that we wait for no more: a cancel or a time-out stops nothing, it is still on its worker's
-// slots.
+// An attempt that we wait for no more, still on its worker's slots: a cancel or a time-out stops nothing.
 struct Leftover {
   Micros until{0};  // when it should be done
   double slots = 0;
@@ -84,6 +83,12 @@
   double last_cycle = -1, next_cycle = -1;  // of its dispatchers' turns: where ours is spent, and is on
 };
 
+// By an operator's hand, whatever the list says meanwhile.
+struct Ban {
+  Micros since{0};
+  std::optional<Micros> over;  // called back, but the list did not name it then
+};
+
 struct Attempt {
   std::string worker;
   Micros sent{0};
@@ -117,8 +122,7 @@
   void begin(Micros now, std::vector<Action>& actions) {
     now_ = now;
     actions_ = &actions;
-    if (started_) return;
-    started_ = true;
+    if (std::exchange(started_, true)) return;
     set_timer("limits", scaled(kInterval, uniform(0.5, 1)));
     if (settings_.list_on_request) ask_for_list();
   }
@@ -151,8 +155,49 @@
     worker.kind = &kinds_[entry.kind];
     worker.usual_wait = &usual_wait_[{entry.zone, entry.kind}];
     if (restarted && entry.state == WorkerState::ready) start_cold(worker, *entry.started);
+    take_back(worker);
+  }
+
+  // Workers out by hand ---------------------------------------------------------------------------------
+
+  void on(const Exclude& call) { bans_.try_emplace(call.worker, Ban{now_, {}}).first->second.over.reset(); }
+
+  void on(const Include& call) {
+    if (const auto ban = bans_.find(call.worker); ban != bans_.end()) ban->second.over = now_;
+    if (const auto known = workers_.find(call.worker); known != workers_.end()) take_back(known->second);
+  }
+
+  // Operators restart what is out: it comes back cold, and what was held against it is over.
+  void take_back(Worker& worker) {
+    const auto ban = bans_.find(worker.entry.worker);
+    if (ban == bans_.end() || !ban->second.over) return;
+    for (Health& one : worker.health) one = {.jobs = one.jobs};
+    worker.link_failures = 0;
+    worker.full_until = Micros{0};
+    const Micros told = worker.entry.started.value_or(Micros{0});
+    start_cold(worker, told > ban->second.since ? told : *ban->second.over);
+    bans_.erase(ban);
+  }
+
+  bool is_out(const std::string& worker) const {
+    const auto ban = bans_.find(worker);
+    return ban != bans_.end() && !ban->second.over;
+  }
+
+  // Avoided: by hand, or by back-off for all that it could serve.
+  Census census(Micros now) const {
+    Census seen;
+    for (const auto& [name, worker] : workers_) {
+      if (worker.entry.state == WorkerState::gone) continue;
+      const auto avoids = [&](const Health& one) { return one.mute || now < one.barred_until; };
+      seen.listed += 1;
+      seen.avoided += is_out(name) || std::all_of(worker.health.begin(), worker.health.end(), avoids);
+    }
+    return seen;
   }
 
+  bool knows(const std::string& worker) const { return workers_.contains(worker) || bans_.contains(worker); }
+
   double first_limit() const {
     return std::max(std::floor(kFirstShare / settings_.dispatchers), 2 * kMinLimit);
   }
@@ -202,7 +247,7 @@
   }
 
   static void update_limit(Limiter& own, double slots, double q, double cut_from) {
-    if (own.timeout_seen || quantile(own.ratios, q) > 1)
+    if (own.timeout_seen || quantile(own.ratios, q, kFullSample) > 1)
       own.limit = std::floor(std::min(own.limit, cut_from) * kBackoffRatio);
     else if (slots * 2 >= own.limit)
       own.limit += 1;
@@ -211,16 +256,6 @@
     own.timeout_seen = false;
   }
 
-  // Under twenty samples the p95 is the maximum, and one long job would halve a healthy worker's limit:
-  // there the largest is left out.
-  static double quantile(std::vector<double>& ratios, double q) {
-    const std::size_t count = ratios.size();
-    std::size_t rank = static_cast<std::size_t>(std::ceil(q * static_cast<double>(count)));
-    if (count < kFullSample) rank = std::min(rank, count - 1);
-    std::nth_element(ratios.begin(), ratios.begin() + static_cast<std::ptrdiff_t>(rank - 1), ratios.end());
-    return ratios[rank - 1];
-  }
-
   // Admission and pick ----------------------------------------------------------------------------------
 
   void on(const Request& request) {
@@ -248,7 +283,7 @@
   // Ready, of the job's kind, not tried before, and in the group that drops repeats if it may have run.
   bool may_take(const Worker& worker, const Job& job) const {
     const ClassSettings& kind = class_of(job);
-    if (worker.entry.state != WorkerState::ready) return false;
+    if (worker.entry.state != WorkerState::ready || is_out(worker.entry.worker)) return false;
     if (!kind.kind.empty() && kind.kind != worker.entry.kind) return false;
     if (kind.effect == Effect::keyed && job.may_have_run) {
       if (kind.group == Group::zone && worker.entry.zone != job.ran_at.zone) return false;
@@ -395,10 +430,8 @@
       leave(worker, job, *attempt);
     observe(worker, job, *attempt, outcome.status);
     if (Health& health = health_of(worker, job); --health.jobs == 0) health.mute = false;
-    if (!proves_not_run(outcome.status) && !job.may_have_run) {
-      job.may_have_run = attempt->sent;
-      job.ran_at = worker.entry;
-    }
+    if (!proves_not_run(outcome.status) && !job.may_have_run)
+      job.may_have_run = attempt->sent, job.ran_at = worker.entry;
     if (outcome.closed || outcome.status == Status::ok) job.finished = true;
     if (!job.finished) dispatch(job);
     drop_if_over(found);
@@ -412,10 +445,6 @@
     if (end > now_) worker.left.push_back({end, job.request.slots, job.work});
   }
 
-  static bool proves_not_run(Status status) {
-    return status == Status::full || status == Status::connect_failed || status == Status::moot;
-  }
-
   // Where the job is held, and its attempt of that number if it is still out.
   std::pair<std::map<std::string, Job>::iterator, Attempt*> find_out(const std::string& id, int number) {
     const auto found = jobs_.find(id);
@@ -454,8 +483,7 @@
     worker.kind->cores = std::max(worker.kind->cores, worker.running);
   }
 
-  // Workers start jobs in order. One that was sent earlier and has not started is stuck, and what is like it
-  // would be too.
+  // Workers start jobs in order: one sent earlier that has not started is stuck, as what is like it would be.
   void look_at_overtaken(const Worker& worker, const Attempt& by) {
     for (auto& [id, job] : jobs_)
       for (std::size_t i = 0; i < job.attempts.size(); ++i) {
@@ -587,10 +615,7 @@
   // The dispatchers take turns at a cold worker, evenly spaced in their order, and one turn is one job.
   // Shares drawn by lot kept the mean but not the sum: by chance, or in overload, hundreds sent at once.
   bool cold_turn(Worker& worker, const Job& job) {
-    if (now_ - *worker.cold_since >= settings_.cold_time) {
-      worker.cold_since.reset();
-      return true;
-    }
+    if (now_ - *worker.cold_since >= settings_.cold_time) return worker.cold_since.reset(), true;
     if (mean_load_ <= 0) return false;
     // Jobs in a span, by what it has for certain: the cores that its kind has shown, at its share.
     const double whole = kTurnMargin * settings_.fall_multiple * seconds(settings_.fall_after) *
@@ -602,7 +627,8 @@
     const double age = seconds(now_ - *worker.cold_since);
     const double spans =
         age * (settings_.start_capacity + warm_share(worker)) / 2 / seconds(settings_.fall_after);
-    const double turn = spans * whole - turn_order(worker);
+    const double turn =
+        spans * whole - place_in_turn(worker.entry.worker, settings_.number, settings_.dispatchers);
     const double cycle = std::floor(turn / settings_.dispatchers);
     if (turn < 0 || turn - cycle * settings_.dispatchers > jobs) return false;
     return worker.last_cycle != cycle ? worker.next_cycle = cycle, true : false;
@@ -611,13 +637,6 @@
   // Each slot of a job takes a core for its running time.
   static double load_of(const Job& job) { return seconds(job.work) * job.request.slots; }
 
-  // Our place among the dispatchers, another one at each worker.
-  double turn_order(const Worker& worker) const {
-    const auto count = static_cast<std::uint64_t>(settings_.dispatchers);
-    return static_cast<double>((hash_of(worker.entry.worker) + static_cast<std::uint64_t>(settings_.number)) %
-                               count);
-  }
-
   // Health ----------------------------------------------------------------------------------------------
 
   // A worker that fails looks idle, so least work would feed it: it is left alone for a while, longer each
@@ -678,6 +697,7 @@
   int asks_failed_ = 0;
   int sharers_ = 1;  // processes that take our turns at cold workers
   std::map<std::string, Worker> workers_;
+  std::map<std::string, Ban> bans_;  // by worker
   std::map<std::string, Job> jobs_;
   std::vector<Micros> class_work_;  // usual latency of each class, for jobs without a hint
   double moves_left_ = 0;
@@ -701,6 +721,10 @@
   std::visit([this](const auto& happened) { state_->on(happened); }, event);
 }
 
+bool Dispatcher::knows(const std::string& worker) const { return state_->knows(worker); }
+
+Census Dispatcher::census(Micros now) const { return state_->census(now); }
+
 double Dispatcher::slots_out() const { return state_->slots_out(false); }
 
 }  // namespace woadtide
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -25,6 +25,7 @@
       executor_(executor),
       hosts_(hosts),
       kin_(kin),
+      totals_(class_names_.size()),
       counted_since_(clock.now()) {}
 
 void DecisionLoop::run() {
@@ -74,12 +75,14 @@
     counts_.answers[static_cast<std::size_t>(AnswerKind::bad_query)] += 1;
     return message.asker->answer({AnswerKind::bad_query, wrong});
   }
-  queries_.emplace(query.id, Open{std::move(message.asker), std::move(query.parcel), query.deadline, {}});
+  const auto class_index = static_cast<std::size_t>(name - class_names_.begin());
+  queries_.emplace(query.id,
+                   Open{std::move(message.asker), std::move(query.parcel), class_index, query.deadline, {}});
   timers_.emplace(query.deadline, Timer{query.id, kWholeQuery});
   kin_.tell({Word::Kind::query, query.id});
   woadtide::Request request;
   request.id = query.id;
-  request.class_index = static_cast<std::size_t>(name - class_names_.begin());
+  request.class_index = class_index;
   request.slots = query.slots;
   if (query.cost_ms) request.hint = to_micros(*query.cost_ms);
   request.time_left = to_micros(query.deadline - clock_.now());
@@ -118,6 +121,11 @@
   drop_if_over(message.query);
 }
 
+void DecisionLoop::take(ExecutionSent& message) {
+  const auto found = queries_.find(message.key.query);
+  if (found != queries_.end()) totals_[found->second.class_index].forwards += 1;
+}
+
 void DecisionLoop::take(ExecutionStarted& message) {
   feed(woadtide::JobStarted{message.key.query, message.key.attempt});
 }
@@ -148,15 +156,40 @@
 
 void DecisionLoop::take(ListTold& message) { feed(message.update); }
 
-// An id in work at one process, or known from before, must not run at the other.
+// A ban holds across an upgrade, and an id in work at one process, or known from before, must not run at the
+// other.
 void DecisionLoop::take(KinJoined&) {
+  for (const std::string& worker : excluded_) kin_.tell({Word::Kind::exclude, worker});
   for (const auto& [id, open] : queries_) kin_.tell({Word::Kind::query, id});
   for (const std::string& id : spent_.all()) kin_.tell({Word::Kind::query, id});
   kin_.tell({Word::Kind::told});
 }
 
 void DecisionLoop::take(KinSaid& message) {
-  if (message.word.kind == Word::Kind::query) spent_.add(message.word.id);
+  const Word& word = message.word;
+  if (word.kind == Word::Kind::query) return spent_.add(word.id);
+  exclude(word.id, word.kind == Word::Kind::exclude);
+}
+
+void DecisionLoop::take(OperatorCall& message) {
+  if (message.kind == OperatorCall::Kind::telemetry) return message.answer.set_value(telemetry());
+  const std::string& worker = message.worker;
+  if (!dispatcher_.knows(worker)) return message.answer.set_value("error no worker has this id\n");
+  const bool out = message.kind == OperatorCall::Kind::exclude;
+  exclude(worker, out);
+  kin_.tell({out ? Word::Kind::exclude : Word::Kind::include, worker});
+  message.answer.set_value("done\n");
+}
+
+// The module decides by it; whoever carries out is told too, for what is on its way.
+void DecisionLoop::exclude(const std::string& worker, bool excluded) {
+  const bool news = excluded ? excluded_.insert(worker).second : excluded_.erase(worker) > 0;
+  if (news) log_line("operator: " + worker + (excluded ? " is out by hand" : " may serve again"));
+  executor_.exclude(worker, excluded);
+  if (excluded)
+    feed(woadtide::Exclude{worker});
+  else
+    feed(woadtide::Include{worker});
 }
 
 void DecisionLoop::take(Sharers& message) { feed(woadtide::Sharers{message.processes}); }
@@ -230,6 +263,10 @@
 void DecisionLoop::settle(Open& open, Answer answer) {
   if (!open.asker) return;
   counts_.answers[static_cast<std::size_t>(answer.kind)] += 1;
+  Totals& totals = totals_[open.class_index];
+  (answer.kind == AnswerKind::served    ? totals.succeeded
+   : answer.kind == AnswerKind::refused ? totals.declined
+                                        : totals.aborted) += 1;
   std::exchange(open.asker, nullptr)->answer(std::move(answer));
 }
 
@@ -242,8 +279,7 @@
   if (place >= open.executions.size() || !open.executions[place].out) return;
   open.executions[place].out = false;
   if (status != Status::ok) counts_.failures += 1;
-  if (status != Status::full && status != Status::connect_failed && status != Status::moot)
-    open.may_have_run = true;
+  if (!proves_not_run(status)) open.may_have_run = true;
   woadtide::Outcome outcome;
   outcome.id = key.query;
   outcome.attempt = key.attempt;
@@ -285,6 +321,29 @@
   queries_.erase(found);
 }
 
+// In the form of statsd: counts run from the start of the process.
+std::string DecisionLoop::telemetry() const {
+  std::string text;
+  const auto line = [&text](std::string_view name, auto value, const char* form) {
+    text.append("app.").append(name).append(":").append(std::to_string(value)).append(form);
+  };
+  for (std::size_t i = 0; i < totals_.size(); ++i) {
+    const Totals& totals = totals_[i];
+    for (const auto& [name, value] : {std::pair{"succeeded.", totals.succeeded},
+                                      {"declined.", totals.declined},
+                                      {"aborted.", totals.aborted},
+                                      {"forwards.", totals.forwards}})
+      line(name + class_names_[i], value, "|c\n");
+  }
+  const woadtide::Census census = dispatcher_.census(to_micros(clock_.now()));
+  // What is settled and only waits for the end of an execution is a client's no more.
+  const auto is_taken = [](const auto& item) { return item.second.asker != nullptr; };
+  line("outstanding", std::count_if(queries_.begin(), queries_.end(), is_taken), "|g\n");
+  line("discovered", census.listed, "|g\n");
+  line("ejected", census.avoided, "|g\n");
+  return text + "end\n";
+}
+
 void DecisionLoop::report_counts() {
   counted_since_ = clock_.now();
   const Counts counts = std::exchange(counts_, {});
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <array>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -35,6 +37,7 @@
   struct Open {                    // a query that is not over: not settled, or with executions out
     std::shared_ptr<Asker> asker;  // empty once settled
     Parcel parcel;
+    std::size_t class_index = 0;
     double deadline = 0;
     std::vector<Running> executions;
     bool may_have_run = false;
@@ -48,6 +51,9 @@
     std::array<int, 5> answers{};  // by AnswerKind
     int queries = 0, executions = 0, failures = 0, gone = 0;
   };
+  struct Totals {  // of a class, since the start
+    std::uint64_t succeeded = 0, declined = 0, aborted = 0, forwards = 0;
+  };
   using Queries = std::map<std::string, Open>;
   // Ids of queries that are over and may have run, the newest of them.
   class Spent {
@@ -64,6 +70,7 @@
 
   void take(QueryArrived& message);
   void take(ClientGone& message);
+  void take(ExecutionSent& message);
   void take(ExecutionStarted& message);
   void take(ExecutionProgress& message);
   void take(ExecutionEnded& message);
@@ -72,6 +79,7 @@
   void take(KinJoined& message);
   void take(KinSaid& message);
   void take(Sharers& message);
+  void take(OperatorCall& message);
   void take(FinishAll& message);
   void take(Stop& message);
 
@@ -84,6 +92,7 @@
   void act(const woadtide::SetTimer& action);
   void act(const woadtide::Log& action);
 
+  void exclude(const std::string& worker, bool excluded);
   const char* wrong_with(const Query& query, bool class_known) const;
   void feed(const woadtide::Event& event);
   void settle(Open& open, Answer answer);
@@ -94,6 +103,7 @@
   void guarded(const std::function<void()>& work);
   void fire_due();
   void report_counts();
+  std::string telemetry() const;
 
   std::vector<std::string> class_names_;
   woadtide::Dispatcher dispatcher_;
@@ -105,8 +115,10 @@
   Queries queries_;
   Spent spent_;
   std::multimap<double, Timer> timers_;
+  std::set<std::string> excluded_;  // workers, to be told to the next process
   bool stopped_ = false;
-  Counts counts_;
+  Counts counts_;               // for the log, which begins anew with each line
+  std::vector<Totals> totals_;  // by class
   double counted_since_;
 };
 
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -3,6 +3,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -23,6 +24,9 @@
   std::string query;
   std::shared_ptr<Asker> asker;  // whose: another client may have sent the same id
 };
+struct ExecutionSent {  // its last byte was handed over
+  ExecutionKey key;
+};
 struct ExecutionStarted {
   ExecutionKey key;
 };
@@ -49,11 +53,18 @@
 struct Sharers {  // how many processes of this dispatcher live
   int processes = 1;
 };
+struct OperatorCall {
+  enum class Kind { exclude, include, telemetry };
+  Kind kind = Kind::exclude;
+  std::string worker = {};
+  std::promise<std::string> answer;  // kept once the call holds: whole lines
+};
 struct FinishAll {};  // the process is about to end: what is still open is answered now
 struct Stop {};       // ends DecisionLoop::run
 
-using Message = std::variant<QueryArrived, ClientGone, ExecutionStarted, ExecutionProgress, ExecutionEnded,
-                             ProbeEnded, ListTold, KinJoined, KinSaid, Sharers, FinishAll, Stop>;
+using Message =
+    std::variant<QueryArrived, ClientGone, ExecutionSent, ExecutionStarted, ExecutionProgress, ExecutionEnded,
+                 ProbeEnded, ListTold, KinJoined, KinSaid, Sharers, OperatorCall, FinishAll, Stop>;
 
 class Inbox {
  public:
--- a/src/core/query.hpp
+++ b/src/core/query.hpp
@@ -66,6 +66,8 @@
   // Stops waiting for it; the worker works on.
   virtual void cancel(const ExecutionKey& key) = 0;
   virtual void probe(const std::string& worker) = 0;
+  // From here on nothing new goes to this worker, whatever is on its way; or it may again.
+  virtual void exclude(const std::string& worker, bool excluded) = 0;
 };
 
 // Where the list of workers comes from.
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -64,6 +64,14 @@
   assign(std::move(execution), true);
 }
 
+void ServerLinks::exclude(const std::string& worker, bool excluded) {
+  const std::lock_guard lock(mutex_);
+  if (excluded)
+    excluded_.insert(worker);
+  else
+    excluded_.erase(worker);
+}
+
 void ServerLinks::assign(core::Execution execution, bool probe) {
   const auto host = hosts_.find(execution.worker);
   Task task{std::move(execution), probe, host.value_or(HostGroup::Known{})};
@@ -177,6 +185,7 @@
       return report(task, std::move(*ending));
     }
     sent = true;
+    if (!task.probe) inbox_.put(core::ExecutionSent{task.execution.key});
     std::optional<LineReader> lines;
     Ending ending = await(link, task, intake, lines);
     // A rest that is malformed spoils the link, not the result that came before it.
@@ -240,6 +249,8 @@
   // The connect may have outlived a drain notice, and nothing new may go to a worker that drains.
   const auto host = hosts_.find(execution.worker);
   if (!host || host->state != woadtide::WorkerState::ready) return broken(link, Status::connect_failed);
+  // Nor to one that an operator has taken out meanwhile. It says nothing of the worker.
+  if (is_excluded(execution.worker)) return Ending{Status::moot};
   const std::string head = head_for(execution, task.host.dial, execution.deadline - clock_.now());
   std::vector<std::string_view> parts{head};
   for (const std::string_view piece : execution.parcel.body)
@@ -321,6 +332,11 @@
   return link.cancelled;
 }
 
+bool ServerLinks::is_excluded(const std::string& worker) {
+  const std::lock_guard lock(mutex_);
+  return excluded_.contains(worker);
+}
+
 void ServerLinks::set_idle(Link& link, bool reusable) {
   const std::lock_guard lock(mutex_);
   if (link.cancelled || !reusable) link.closing = true;
--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -6,6 +6,7 @@
 #include <list>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "core/inbox.hpp"
@@ -37,6 +38,7 @@
   void start(core::Execution execution) override;
   void cancel(const core::ExecutionKey& key) override;
   void probe(const std::string& worker) override;
+  void exclude(const std::string& worker, bool excluded) override;
   // Another bound on links from here on: idle ones over it are closed.
   void set_most(std::size_t most);
 
@@ -78,6 +80,7 @@
   Ending broken(Link& link, woadtide::Status otherwise);
   void report(const Task& task, Ending ending);
   bool is_cancelled(Link& link);
+  bool is_excluded(const std::string& worker);
   void set_idle(Link& link, bool reusable);
 
   Limits limits_;  // `most` under the mutex
@@ -87,7 +90,8 @@
   BufferPool& pool_;
   std::mutex mutex_;
   std::list<Link> links_;
-  core::Seldom all_busy_;  // under the mutex
+  std::set<std::string> excluded_;  // workers that an operator has out, under the mutex
+  core::Seldom all_busy_;           // under the mutex
 };
 
 }  // namespace woadtide::net
--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -1,6 +1,7 @@
 #include "net/succession.hpp"
 
 #include <fcntl.h>
+#include <sys/time.h>
 #include <sys/un.h>
 #include <unistd.h>
 
@@ -60,16 +61,20 @@
 
 Succession::~Succession() { end(); }
 
+// What an operator was told `done` for goes out before the link ends.
 void Succession::end() {
   stopping_ = true;
   if (listener_) listener_.shut();
   thread_.join();
   std::list<Peer> ended;
-  const std::lock_guard lock(mutex_);
-  ended.swap(peers_);
+  {
+    const std::lock_guard lock(mutex_);
+    ended.swap(peers_);
+    for (Peer& peer : ended) peer.wake.notify_all();
+  }
   for (Peer& peer : ended) {
+    peer.writer.join();
     peer.socket.shut();
-    peer.wake.notify_all();
   }
 }
 
@@ -118,6 +123,8 @@
     peer.socket = std::move(socket);
     if (ready_) put(peer, {Word::Kind::ready});
     alone_ = false;
+    const timeval patience{0, 300'000};  // for a process that reads nothing, as one that was stopped
+    ::setsockopt(peer.socket.fd(), SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
     peer.writer = Thread("kin-writer", [this, &peer] { write(peer); });
     peer.reader = Thread("kin-reader", [this, &peer] { read(peer); });
   }
@@ -154,14 +161,18 @@
 
 void Succession::write(Peer& peer) {
   std::unique_lock lock(mutex_);
-  while (!peer.over && !stopping_) {
+  while (!peer.over) {
     peer.wake.wait(lock, [&] { return peer.over || stopping_ || !peer.outbox.empty(); });
+    if (peer.outbox.empty()) break;
     const std::string out = std::exchange(peer.outbox, {});
     lock.unlock();
     for (std::size_t sent = 0; sent < out.size();) {
       const ssize_t count = ::send(peer.socket.fd(), out.data() + sent, out.size() - sent, MSG_NOSIGNAL);
       if (count < 0 && errno == EINTR) continue;
-      if (count <= 0) break;  // its reader sees the end
+      if (count <= 0) {  // its reader sees the end
+        peer.socket.shut();
+        break;
+      }
       sent += static_cast<std::size_t>(count);
     }
     lock.lock();
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -3,7 +3,9 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
+#include <future>
 #include <utility>
 
 #include "core/log.hpp"
@@ -28,6 +30,7 @@
 constexpr double kLastQueriesMs = 700;  // time for the last queries taken: half and more are done in it
 constexpr double kLastAnswersMs = 150;
 
+constexpr int kLoopMs = 900;     // a call is owed its answer in 1 s
 constexpr double kTellMs = 500;  // for the process that runs already to tell what it knows
 
 double longest_deadline(const woadtide::Settings& settings) {
@@ -134,16 +137,28 @@
 }
 
 std::string Node::answer_call(std::string_view call, std::string_view argument) {
+  if (call == "exclude" && !argument.empty()) return ask_loop(core::OperatorCall::Kind::exclude, argument);
+  if (call == "include" && !argument.empty()) return ask_loop(core::OperatorCall::Kind::include, argument);
   if (!argument.empty()) return "error no such call\n";
   if (call == "readyz") {
     const std::lock_guard lock(state_mutex_);
     return !ending_ && !evacuated_ ? "done ready\n" : "error not ready\n";
   }
+  if (call == "telemetry") return ask_loop(core::OperatorCall::Kind::telemetry, {});
   if (call == "evacuate") return set_evacuated(true);
   if (call == "activate") return set_evacuated(false);
   return "error no such call\n";
 }
 
+std::string Node::ask_loop(core::OperatorCall::Kind kind, std::string_view worker) {
+  core::OperatorCall call{kind, std::string(worker), {}};
+  std::future<std::string> answer = call.answer.get_future();
+  inbox_.put(std::move(call));
+  if (answer.wait_for(std::chrono::milliseconds(kLoopMs)) != std::future_status::ready)
+    return "error it is not done yet\n";
+  return answer.get();
+}
+
 std::string Node::set_evacuated(bool evacuated) {
   const std::lock_guard lock(state_mutex_);
   if (ending_) return "error this process is ending\n";
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -47,6 +47,7 @@
 
  private:
   std::string answer_call(std::string_view call, std::string_view argument);
+  std::string ask_loop(core::OperatorCall::Kind kind, std::string_view worker);
   std::string set_evacuated(bool evacuated);
   void share_out(std::size_t processes);
 
--- a/src/numbers.hpp
+++ b/src/numbers.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "woadtide/balance.hpp"
 
@@ -18,6 +20,15 @@
   return static_cast<double>(latency.count()) / static_cast<double>(std::max(threshold, Micros{1}).count());
 }
 
+// Under `full` samples a high quantile is the maximum, and one long job would halve a healthy worker's limit:
+// there the largest is left out.
+inline double quantile(std::vector<double>& samples, double q, std::size_t full) {
+  std::size_t rank = static_cast<std::size_t>(std::ceil(q * static_cast<double>(samples.size())));
+  if (samples.size() < full) rank = std::min(rank, samples.size() - 1);
+  std::nth_element(samples.begin(), samples.begin() + static_cast<std::ptrdiff_t>(rank - 1), samples.end());
+  return samples[rank - 1];
+}
+
 // FNV-1a: the same at every dispatcher, on any machine.
 inline std::uint64_t hash_of(const std::string& name) {
   std::uint64_t hash = 14695981039346656037U;
@@ -25,4 +36,10 @@
   return hash;
 }
 
+// One's place among `count`, another one at each worker.
+inline double place_in_turn(const std::string& worker, int number, int count) {
+  return static_cast<double>((hash_of(worker) + static_cast<std::uint64_t>(number)) %
+                             static_cast<std::uint64_t>(count));
+}
+
 }  // namespace woadtide
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -8,10 +8,12 @@
   void start(Execution execution) override { started.push_back(std::move(execution)); }
   void cancel(const ExecutionKey& key) override { cancelled.push_back(key); }
   void probe(const std::string&) override {}
+  void exclude(const std::string& worker, bool out) override { excluded[worker] = out; }
   void watch() override { watches += 1; }
   void tell(const Word& word) override { told.push_back(word); }
   std::vector<Execution> started;
   std::vector<ExecutionKey> cancelled;
+  std::map<std::string, bool> excluded;
   std::vector<Word> told;
   int watches = 0;
 };
@@ -186,6 +188,67 @@
   CHECK(desk.paper.watches == 2);
 }
 
+// Guards the figures that operators read: from the start on, of this moment, and true.
+TEST_CASE("telemetry counts by class from the start, and what is open now") {
+  Desk desk(3);
+  desk.ask("s", "receipt-check");
+  desk.ask("f", "refund-payout");
+  const auto sent = [&](int i) {
+    desk.say(ExecutionSent{desk.paper.started.at(static_cast<std::size_t>(i)).key});
+  };
+  sent(0);
+  sent(1);
+  desk.end(0, Status::ok, "x");
+  desk.pass(10'000);  // the log's figures begin anew; the payout is out of time, its execution not over for
+                      // the worker
+  const auto left = desk.ask("l", "receipt-check");
+  desk.ask("o", "receipt-check");
+  desk.say(ClientGone{"l", left});  // nobody's, though its execution is out
+  for (int i = 0; i < 3; ++i) {
+    OperatorCall out{OperatorCall::Kind::exclude, "w" + std::to_string(i), {}};
+    desk.say(std::move(out));
+  }
+  desk.ask("r", "refund-payout");
+  OperatorCall call{OperatorCall::Kind::telemetry, {}, {}};
+  auto answer = call.answer.get_future();
+  desk.say(std::move(call));
+  CHECK(answer.get() ==
+        "app.succeeded.receipt-check:1|c\napp.declined.receipt-check:0|c\napp.aborted.receipt-check:0|c\n"
+        "app.forwards.receipt-check:1|c\napp.succeeded.refund-payout:0|c\napp.declined.refund-payout:1|c\n"
+        "app.aborted.refund-payout:1|c\napp.forwards.refund-payout:1|c\napp.outstanding:1|g\n"
+        "app.discovered:3|g\napp.ejected:3|g\nend\n");
+}
+
+// Guards the bans across an upgrade, whichever process was called, and ids that are in work at the other.
+TEST_CASE("a call holds here and is passed on, and a next process is told of all that holds") {
+  Desk desk(2);
+  const auto call = [&](OperatorCall::Kind kind, const std::string& worker) {
+    OperatorCall made{kind, worker, {}};
+    auto answer = made.answer.get_future();
+    desk.say(std::move(made));
+    return answer.get();
+  };
+  CHECK(call(OperatorCall::Kind::exclude, "nobody").starts_with("error"));
+  CHECK(call(OperatorCall::Kind::include, "nobody").starts_with("error"));
+  CHECK(desk.paper.told.empty());
+  CHECK(call(OperatorCall::Kind::exclude, "w0").starts_with("done"));
+  CHECK(desk.paper.excluded.at("w0"));
+  desk.say(KinSaid{{Word::Kind::exclude, "w1"}});
+  CHECK(desk.ask("q", "refund-payout")->heard.at(0).kind == AnswerKind::refused);
+  CHECK(call(OperatorCall::Kind::include, "w1").starts_with("done"));
+  desk.ask("r", "refund-payout");
+  REQUIRE(desk.paper.started.size() == 1);
+  CHECK(desk.paper.started[0].worker == "w1");
+  desk.say(KinSaid{{Word::Kind::query, "s"}});
+  CHECK(desk.ask("s", "refund-payout")->heard.at(0).kind == AnswerKind::bad_query);
+  desk.paper.told.clear();
+  desk.say(KinJoined{});
+  std::string told;
+  for (const Word& word : desk.paper.told)
+    told += std::to_string(static_cast<int>(word.kind)) + ' ' + word.id + ';';
+  CHECK(told == "0 w0;2 r;2 s;3 ;");
+}
+
 TEST_CASE("what is unfinished when the process must end is answered") {
   Desk desk(1);
   const auto ear = desk.ask("q", "receipt-check");
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -406,7 +406,11 @@
   core::Message next(double ms = 0) {
     for (int tries = 0; come.empty(); ++tries) {
       inbox.wait(100);
-      come = inbox.take();
+      for (core::Message& message : inbox.take())
+        if (std::holds_alternative<core::ExecutionSent>(message))
+          sent += 1;
+        else
+          come.push_back(std::move(message));
       clock.set(clock.now() + ms);
       REQUIRE_MESSAGE(tries < 100, "no message came");
     }
@@ -429,6 +433,7 @@
   core::Inbox inbox;
   BufferPool pool{16};
   std::deque<core::Message> come;
+  int sent = 0;  // executions, to their last byte
   HostGroup hosts;
   ServerLinks servers;
 };
@@ -441,6 +446,27 @@
   CHECK(bench.worker.accept().closed());
 }
 
+// Guards an operator's word: a connect, or a turn in a queue, can outlive it, and probes go around the
+// module.
+TEST_CASE("a worker that an operator takes out gets no byte of what was on its way, until the call back") {
+  Bench bench("Ready");
+  bench.servers.exclude("w", true);
+  bench.start("q");
+  CHECK(bench.ending() == Status::moot);
+  CHECK(bench.worker.accept().closed());
+  bench.servers.probe("w");
+  CHECK(std::get<core::ProbeEnded>(bench.next()).status == Status::moot);
+  CHECK(bench.worker.accept().closed());
+  bench.servers.exclude("w", false);
+  bench.start("r");
+  Peer link = bench.worker.accept();
+  CHECK(link.message().ends_with("pay"));
+  link.write(done("r", "ok"));
+  CHECK(std::holds_alternative<core::ExecutionStarted>(bench.next()));
+  CHECK(bench.ending() == Status::ok);
+  CHECK(bench.sent == 1);  // what was written whole, and no probe
+}
+
 TEST_CASE("a cancelled execution ends as cancelled and its link is closed") {
   Bench bench("Ready");
   bench.start("q");
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -114,6 +114,73 @@
   }
 }
 
+// An operator's ban is no news of the list: nothing that the list says may end it.
+TEST(Ban, HoldsWhateverTheListSaysUntilTheCallBack) {
+  Driver d;
+  d.list({entry("w")});
+  EXPECT_EQ(d.ask("a"), "w");
+  d.feed(Exclude{"w"});
+  d.feed(Exclude{"w"});
+  EXPECT_EQ(d.ask("b"), "");
+  d.finish("a", Status::connect_failed);  // its next attempt may not go there either
+  EXPECT_EQ(d.dispatcher.slots_out(), 0);
+  ListEntry restarted = entry("w");
+  restarted.started = d.now;
+  d.list({entry("w", "a", WorkerState::gone)}, ListKind::changes);
+  d.list({restarted}, ListKind::changes);
+  d.list({restarted});
+  EXPECT_EQ(d.ask("c"), "");
+  EXPECT_EQ(d.dispatcher.census(d.now).listed, 1);
+  EXPECT_EQ(d.dispatcher.census(d.now).avoided, 1);
+  d.feed(Include{"w"});
+  EXPECT_EQ(d.dispatcher.census(d.now).avoided, 0);
+  d.pass(23s);
+  EXPECT_EQ(d.ask("d"), "w");
+  EXPECT_TRUE(d.dispatcher.knows("w"));
+  EXPECT_FALSE(d.dispatcher.knows("v"));
+}
+
+// Restarted by hand, a worker is cold although the list never told; sent all that it held before, it would
+// fall.
+TEST(Ban, AWorkerComesBackColdAndWithNothingHeldAgainstIt) {
+  for (const bool listed : {true, false}) {
+    Driver d(one_of(1, 0));
+    d.list({entry("w")});
+    for (int i = 0; i < 6; ++i) d.run("warm" + std::to_string(i), 100ms);
+    int warm = 0;
+    while (!d.ask("x" + std::to_string(warm)).empty()) ASSERT_LT(++warm, 200);
+    d.feed(Exclude{"w"});
+    for (int i = 0; i < warm; ++i) d.finish("x" + std::to_string(i), Status::connect_failed);
+    if (!listed) d.list({});
+    d.feed(Include{"w"});
+    d.list({entry("w")});
+    int cold = 0;
+    d.pass(1s);
+    while (!d.ask("y" + std::to_string(cold)).empty()) ASSERT_LT(++cold, 200);
+    EXPECT_GT(cold, 0) << "old back-off keeps it unused";
+    EXPECT_LT(cold, warm);
+  }
+}
+
+// Two processes of one dispatcher have its one turn at a cold worker.
+TEST(Cold, ProcessesOfOneDispatcherShareItsTurns) {
+  const auto sent = [](int processes) {
+    Driver d(one_of(1, 0));
+    d.list({entry("old")});
+    for (int i = 0; i < 6; ++i) d.run("warm" + std::to_string(i), 100ms);
+    d.feed(Sharers{processes});
+    d.list_cold();
+    d.feed(Exclude{"old"});
+    int count = 0, number = 0;
+    for (const Micros end = d.now + 10s; d.now < end; d.pass(5ms))
+      count += d.run("c" + std::to_string(number++), 100ms).empty() ? 0 : 1;
+    return count;
+  };
+  const int alone = sent(1), shared = sent(2);
+  EXPECT_GT(shared, 0);
+  EXPECT_LE(shared, alone * 0.6);
+}
+
 // All dispatchers together, with the same traffic, against one worker that has just started.
 TEST(Cold, AllDispatchersTogetherStayInsideTheBudget) {
   const int dispatchers = 5, warm = 6;
--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -82,6 +82,32 @@
   CHECK(starts(after.message(), "HTTP/1.1 200 "));
 }
 
+TEST_CASE("a ban holds across an upgrade, and while both live a call to one holds at the other") {
+  Platform platform;
+  const Hosts hosts{host_json("w", platform.worker.dial())};
+  auto old = platform.start(hosts);
+  CHECK(starts(Platform::call(*old, "exclude w\n"), "done"));
+  CHECK(starts(Platform::call(*old, "exclude v\n"), "error"));
+  auto next = platform.start(hosts);
+  old.reset();
+  const auto ask = [&](const std::string& id) {
+    Peer link = platform.client();
+    link.write(query_text(id, "refund-payout"));
+    return link.message();
+  };
+  CHECK(starts(ask("b1"), "HTTP/1.1 503 "));
+  auto third = platform.start(hosts);
+  CHECK(starts(Platform::call(*third, "include w\n"), "done"));
+  third.reset();  // the word goes out all the same
+  while (!has(Platform::call(*next, "telemetry\n"), "app.ejected:0|g\n")) std::this_thread::yield();
+  Peer client = platform.client();
+  client.write(query_text("b2", "refund-payout"));
+  Peer link = platform.worker.accept();
+  link.message();
+  link.write(done("b2", "ok"));
+  CHECK(starts(client.message(), "HTTP/1.1 200 "));
+}
+
 TEST_CASE(
     "what an ended process left in the folder does no harm, and a descriptor that does not listen is "
     "refused") {
