Give slow queries time while their bytes come, and end answers that fall quiet in a line

At fault: ClientLink::run's one limit of 2 s from accept, and make_room, which took the oldest unserved link though its bytes were coming, while hundreds of links that had asked for health once stood idle. Ruled out: memory, descriptors (138 of 192, 249 of 384) and CPU (0.11 s in the worst second); walking away is told apart already.

--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -189,17 +189,14 @@
     if (wait_for(socket_.fd(), POLLIN, -1, until, side_.clock).first == 0) return false;
   }
   // From here a served link's query counts as read: whoever wants idle links closed leaves this one alone.
-  return links_.stand(*this, served_ ? Standing::busy : Standing::reading);
+  return !served_ || links_.stand(*this, Standing::busy);
 }
 
 bool ClientLink::serve_query() {
   core::Query query;
   bool closes = false;
   try {
-    // One limit from accept on for all of the first query: half a head, or a byte now and then, must not hold
-    // a place and a buffer for longer.
-    const double until = served_ ? side_.clock.now() + side_.message_ms : opened_ + side_.first_ms;
-    const auto held = read_query(query, closes, until);
+    const auto held = read_query(query, closes);
     if (!held || !links_.stand(*this, Standing::busy)) return false;
     query.parcel.hold = held;
     const std::string_view path = query.parcel.target.substr(0, query.parcel.target.find('?'));
@@ -214,7 +211,7 @@
       go_on = answer_query(std::move(query), closes);
     }
     served_ = true;
-    return go_on && links_.stand(*this, Standing::idle);
+    return go_on && links_.stand(*this, worked_ ? Standing::idle : Standing::asked);
   } catch (const BadMessage& bad) {
     reject(bad.status, bad.what());
     return false;
@@ -222,7 +219,11 @@
 }
 
 // Reads one whole message. Nothing, if the link ended before. Throws BadMessage.
-std::shared_ptr<ClientLink::Held> ClientLink::read_query(core::Query& query, bool& closes, double until) {
+std::shared_ptr<ClientLink::Held> ClientLink::read_query(core::Query& query, bool& closes) {
+  // Some come in pieces, for seconds. But one that has stopped must not hold a place and a buffer, nor may a
+  // byte now and then hold them for good.
+  const double last = (served_ ? side_.clock.now() : opened_) + side_.message_ms;
+  double until = served_ ? side_.clock.now() + side_.first_ms : opened_ + side_.first_ms;
   const auto held = std::make_shared<Held>();
   const auto next_buffer = [&] {
     auto buffer = side_.pool.take(until, side_.clock);
@@ -238,6 +239,8 @@
     const Io io = socket_.receive(data + size, kBufferBytes - size, got, until, side_.clock);
     if (io == Io::late) throw BadMessage(408, "the rest did not come");
     size += got;
+    until = std::min(std::max(until, side_.clock.now() + side_.gap_ms), last);
+    if (!served_ && !links_.stand(*this, Standing::reading)) return false;
     return io == Io::done;
   };
 
@@ -289,6 +292,7 @@
     const Lookout::Watch watch(side_.lookout, socket_.fd(), [this] { mailbox_->leave(); });
     side_.inbox.put(core::QueryArrived{std::move(query), mailbox_});
     answer = mailbox_->wait();
+    worked_ = true;
   }
   if (!answer) {
     side_.inbox.put(core::ClientGone{id, mailbox_});
--- a/src/net/client_link.hpp
+++ b/src/net/client_link.hpp
@@ -25,7 +25,8 @@
   core::Inbox& inbox;
   BufferPool& pool;
   Lookout& lookout;
-  double first_ms = 2'000;         // from accept: by then a link's first query must have come whole
+  double first_ms = 2'000;         // from accept: by then a link's first query must have come, or
+  double gap_ms = 1'000;           // since its last byte: it comes in pieces, and goes on
   double idle_ms = 120'000;        // a link that has served is closed after this without a query
   double message_ms = 10'000;      // its next queries must have come, an answer must have gone, within this
   std::atomic<bool> ready{false};  // what /health/ready says
@@ -33,9 +34,10 @@
 };
 
 // Where a link stands, which says whether it may be closed to make room:
-// fresh: no byte of its first query was read; reading: a part of it was; idle: between two queries;
-// busy: a query is at work; over: its thread is about to end.
-enum class Standing { fresh, reading, idle, busy, over };
+// fresh: no byte of its first query was read; reading: a part of it was; asked: answered, but it never
+// brought a query to work on; idle: between two queries; busy: a query is at work; over: its thread is about
+// to end.
+enum class Standing { fresh, reading, asked, idle, busy, over };
 
 class ClientLinks;
 
@@ -69,7 +71,7 @@
   void run();
   bool await_query();
   bool serve_query();
-  std::shared_ptr<Held> read_query(core::Query& query, bool& closes, double until);
+  std::shared_ptr<Held> read_query(core::Query& query, bool& closes);
   bool answer_query(core::Query query, bool closes);
   bool write(int status, std::string_view fields, std::string_view body, bool closes);
   void reject(int status, std::string_view why);
@@ -79,14 +81,16 @@
   ClientLinks& links_;
   const std::shared_ptr<Mailbox> mailbox_;
   const double opened_;
-  bool served_ = false;  // a whole query of it was answered
+  bool served_ = false;  // a whole message of it was answered
+  bool worked_ = false;  // one of them a query for workers
   std::string unread_;   // bytes that came behind a query
   // Under the mutex of links_, but that the link's thread uses the socket:
   Socket socket_;
   Standing standing_ = Standing::fresh;
   std::list<std::unique_ptr<ClientLink>>::iterator place_;
   bool closing_ = false;
-  Thread thread_;  // last: it uses all the others
+  double moved_ = 0;  // when it came to stand so, or its last byte since
+  Thread thread_;     // last: it uses all the others
 };
 
 }  // namespace woadtide::net
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -18,6 +18,7 @@
 namespace {
 constexpr double kReapMs = 1'000;   // threads of ended links are joined this often at least
 constexpr int kMostWaiting = 1024;  // links that the machine may hold for us
+constexpr double kSilentMs = 400;   // a query that comes in pieces may pause for so long
 constexpr int kFullMs = 5;          // how long to wait where there is no room, before another look
 // An evacuation: the front asks every 0.1 s whether we are ready and deals out links for 0.2 s after the
 // first no. Links stay open for that long: closed sooner, their clients would be sent here again. By 4 s none
@@ -101,6 +102,11 @@
   return at(standing).size();
 }
 
+double ClientLinks::last_moved(Standing standing) {
+  const std::lock_guard lock(mutex_);
+  return at(standing).empty() ? 0 : at(standing).back()->moved_;
+}
+
 std::size_t ClientLinks::open_here() const {
   std::size_t open = 0;
   for (const Links& links : links_) open += links.size();
@@ -125,6 +131,7 @@
 void ClientLinks::put(ClientLink& link, Standing standing) {
   at(standing).splice(at(standing).end(), at(link.standing_), link.place_);
   link.standing_ = standing;
+  link.moved_ = side_.clock.now();
 }
 
 // Wakes its thread, which then ends. Only for a link that has no query at work.
@@ -162,7 +169,7 @@
   while (open_here() - closing_ > most_ && shed_one()) {
   }
   if (since <= 0 || now < since + kFrontMs) return;
-  close_quiet(Standing::idle, now);
+  for (const Standing standing : {Standing::idle, Standing::asked}) close_quiet(standing, now);
   if (now < since + kLastFirstMs) return;
   for (const Standing standing : {Standing::fresh, Standing::reading}) close_quiet(standing, now - kFirstMs);
 }
@@ -196,22 +203,25 @@
     Links& fresh = at(Standing::fresh);
     fresh.push_back(std::make_unique<ClientLink>(std::move(socket), side_, *this));
     fresh.back()->place_ = std::prev(fresh.end());
+    fresh.back()->moved_ = side_.clock.now();
   } catch (const std::exception& failed) {
     core::log_line(std::string("acceptor: ") + failed.what());
   }
   return true;
 }
 
-// At the edge links that never completed a query go first, oldest first: clients that connect by the hundred
-// and say nothing, or half a head, must not push out those that are served. Then served ones, longest idle
-// first. Where all have a query at work, new ones wait.
+// At the edge links go first that asked for health at some time and stayed, then those that are silent and
+// never completed a query: clients that connect by the hundred and say nothing, or half a head, must not push
+// out those that are served, nor those whose query is coming in. Then served ones, longest idle first. Where
+// all have a query at work, new ones wait.
 void ClientLinks::make_room() {
   std::unique_lock lock(mutex_);
   while (open_here() >= most_) {
     if (all_open_.due(side_.clock.now()))
       core::log_line("acceptor: all " + std::to_string(most_) + " client links are open, " +
                      std::to_string(at(Standing::fresh).size() + at(Standing::reading).size()) +
-                     " unserved, " + std::to_string(at(Standing::idle).size()) + " idle");
+                     " unserved, " + std::to_string(at(Standing::asked).size() + at(Standing::idle).size()) +
+                     " idle");
     // One at a time: what was told to close is about to make the room.
     if (closing_ == 0) shed_one();
     ended_.wait_for(lock, std::chrono::milliseconds(kFullMs));
@@ -219,21 +229,31 @@
 }
 
 bool ClientLinks::shed_one() {
-  ClientLink* shed = oldest_unserved();
-  if (!shed && !at(Standing::idle).empty()) shed = at(Standing::idle).front().get();
+  const double now = side_.clock.now();
+  const auto oldest = [this](Standing standing, double moved_before) {
+    const Links& links = at(standing);
+    return !links.empty() && links.front()->moved_ <= moved_before ? links.front().get() : nullptr;
+  };
+  ClientLink* shed = oldest(Standing::asked, now - kSilentMs);
+  if (!shed) shed = unserved(now - kSilentMs);
+  if (!shed) shed = oldest(Standing::asked, now);
+  if (!shed) shed = oldest(Standing::idle, now);
+  if (!shed) shed = unserved(now);
   if (shed) close(*shed);
   return shed;
 }
 
-// One whose bytes have come, but whose thread had no turn yet, is not silent.
-ClientLink* ClientLinks::oldest_unserved() {
-  const Links &fresh = at(Standing::fresh), &reading = at(Standing::reading);
-  const auto silent =
-      std::find_if(fresh.begin(), fresh.end(), [](const auto& l) { return l->socket_.quiet(); });
-  ClientLink* const one = silent == fresh.end() ? nullptr : silent->get();
-  ClientLink* const other = reading.empty() ? nullptr : reading.front().get();
-  if (!one || !other) return one ? one : other;
-  return one->opened_ <= other->opened_ ? one : other;
+// The longest silent one. One whose bytes have come, but whose thread had no turn yet, is not silent.
+ClientLink* ClientLinks::unserved(double moved_before) {
+  ClientLink* found = nullptr;
+  for (const Standing standing : {Standing::fresh, Standing::reading})
+    for (const auto& link : at(standing)) {
+      if (link->moved_ > moved_before || (found && found->moved_ <= link->moved_)) break;
+      if (!link->socket_.quiet()) continue;
+      found = link.get();
+      break;
+    }
+  return found;
 }
 
 // Threads are joined outside the mutex, which they need for their end.
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -37,6 +37,8 @@
   void activate();
   std::size_t open();
   std::size_t count(Standing standing);
+  // When the last link of those that stand so came to, or its last byte since; 0 where there is none.
+  double last_moved(Standing standing);
 
  private:
   friend class ClientLink;
@@ -53,7 +55,7 @@
   void close_quiet(Standing standing, double opened_before);
   bool accept_one();
   void make_room();
-  ClientLink* oldest_unserved();
+  ClientLink* unserved(double moved_before);
   bool shed_one();
   std::size_t open_here() const;
   Links& at(Standing standing) { return links_[static_cast<std::size_t>(standing)]; }
@@ -70,7 +72,7 @@
   std::mutex mutex_;
   std::condition_variable ended_;
   // By standing, each in the order in which they came to stand so: no walk through all of them at an accept.
-  std::array<Links, 5> links_;
+  std::array<Links, 6> links_;
   std::size_t closing_ = 0;  // links told to close whose threads have not ended
   core::Seldom all_open_, no_room_;
   Thread thread_;  // last: it uses all the others
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -229,10 +229,10 @@
   return io;
 }
 
-std::optional<std::size_t> Intake::head(double deadline, Io& why) {
+std::optional<std::size_t> Intake::head(double deadline, Io& why, double rest_ms) {
   for (;;) {
     if (const std::size_t length = head_length(view())) return length;
-    why = more(deadline);
+    why = more(view().empty() ? deadline : std::min(deadline, now() + rest_ms));
     if (why != Io::done) return std::nullopt;
   }
 }
@@ -247,7 +247,7 @@
   }
 }
 
-LineReader::Got LineReader::next(std::string& line, double deadline) {
+LineReader::Got LineReader::next(std::string& line, double deadline, double rest_ms) {
   for (;;) {
     absorb();
     if (const std::size_t end = pending_.find('\n'); end != std::string::npos) {
@@ -263,7 +263,8 @@
       line = std::exchange(pending_, {});
       return Got::line;
     }
-    switch (intake_.more(deadline)) {
+    const bool begun = !pending_.empty() || !decoder_.between_chunks();
+    switch (intake_.more(begun ? std::min(deadline, intake_.now() + rest_ms) : deadline)) {
       case Io::done:
         break;
       case Io::late:
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -64,6 +64,8 @@
   std::size_t feed(std::string_view raw, const std::function<void(std::string_view)>& sink);
   bool over() const { return state_ == State::over; }
   bool to_end() const { return state_ == State::to_end; }
+  // Nothing of a chunk has come that is not whole.
+  bool between_chunks() const { return state_ == State::size_line && line_.empty(); }
 
  private:
   enum class State { data, to_end, size_line, chunk, chunk_end, trailer, over };
@@ -77,6 +79,7 @@
 // take seconds to say the next thing.
 class Intake {
  public:
+  static constexpr double kNoLimit = 1e12;
   Intake(Socket& socket, const core::Clock& clock, BufferPool& pool)
       : socket_(socket), clock_(clock), pool_(pool) {}
 
@@ -86,8 +89,10 @@
   void use(std::size_t count) { from_ += count; }
   // Reads on until something comes. Io::broken when the buffer is full.
   Io more(double deadline);
+  double now() const { return clock_.now(); }
   // A whole head; nullopt when the link ended or time ran out, `why` says which. Throws BadMessage.
-  std::optional<std::size_t> head(double deadline, Io& why);
+  // What has begun to come must go on within `rest_ms` of its last byte.
+  std::optional<std::size_t> head(double deadline, Io& why, double rest_ms = kNoLimit);
 
  private:
   Socket& socket_;
@@ -104,8 +109,9 @@
 
   enum class Got { line, end, broken, late };
   // Got::line: `line` holds the next one without its end, also where that is empty. Got::end: the body was
-  // whole. Throws BadMessage, also for a line over kMostBody.
-  Got next(std::string& line, double deadline);
+  // whole. Throws BadMessage, also for a line over kMostBody. Got::late: also when a line or chunk that has
+  // begun does not go on within `rest_ms` of its last byte.
+  Got next(std::string& line, double deadline, double rest_ms = Intake::kNoLimit);
   // Drops what has come of the body. True when that was all of it: the link may carry the next message.
   bool skip();
   // The same, and waits for the rest.
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -16,6 +16,9 @@
 // How long the end of a body may come behind its last line before the link is not worth keeping.
 constexpr double kTailMs = 200;
 constexpr double kProbeMs = 1'000;
+// A worker may take its time between two lines, but not in the midst of one: a link that fell quiet there
+// will not bring the result, and a safe query can still be in time elsewhere.
+constexpr double kRestMs = 1'500;
 // The last byte of a query waits for two round trips, as the connect showed them, but no longer than this;
 // and Limits::settle_ms for the worker to act.
 constexpr double kMostRoundsMs = 25;
@@ -278,7 +281,7 @@
   try {
     for (;;) {
       Io why = Io::done;
-      const auto length = intake.head(until, why);
+      const auto length = intake.head(until, why, kRestMs);
       if (!length) return broken(link, Status::reset);
       const Head head = read_answer_head(intake.view().substr(0, *length));
       const Framing framing = framing_of_answer(head);
@@ -301,7 +304,7 @@
   const core::ExecutionKey& key = task.execution.key;
   std::string line;
   for (;;) {
-    if (lines.next(line, task.execution.deadline + kBackstopMs) != LineReader::Got::line)
+    if (lines.next(line, task.execution.deadline + kBackstopMs, kRestMs) != LineReader::Got::line)
       return broken(link, Status::reset);
     if (line.empty()) continue;
     if (task.probe) return {Status::ok};
