--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -15,9 +15,8 @@
 constexpr Micros kInterval = std::chrono::seconds(3);  // the PAPER's gap between two updates of a limit
 constexpr double kBackoffRatio = 0.7;  // a limit's cut; with +1 a step it finds its level in a few steps
 constexpr double kMinLimit = 1;        // one slot: a worker is never shut off by its limit
-constexpr double kCoreShare = 1.5;  // of the cores it has shown, all dispatchers together keep so many slots
-constexpr double kMaxLimit = 64;    // far above what a worker holds; stops growth that nothing tests
-constexpr double kFirstShare = 8;   // slots at a worker that all dispatchers share out as their first limits
+constexpr double kMaxLimit = 64;       // far above what a worker holds; stops growth that nothing tests
+constexpr double kFirstShare = 8;  // slots at a worker that all dispatchers share out as their first limits
 constexpr std::size_t kFullSample = 20;        // below this many a p95 is the maximum
 constexpr std::size_t kFewestSamples = 5;      // a window with fewer waits for the next interval
 constexpr int kMostIntervals = 3;              // and no longer than this
@@ -216,7 +215,8 @@
     for (auto& [name, worker] : workers_) judge(worker);
     if (shared_.ratios.size() >= kFewestSamples) {
       // It starts open, as traffic is uneven and not known; a cut starts from what was in use at most.
-      update_limit(shared_, shared_used_, kSharedQuantile, shared_used_, 2 * kMinLimit);
+      update_limit(shared_, shared_used_, kSharedQuantile, shared_used_);
+      shared_.limit = std::max(shared_.limit, 2 * kMinLimit);
       shared_used_ = slots_out(true);
     }
     set_timer("limits", kInterval);
@@ -227,9 +227,7 @@
     const bool filled = own.ratios.size() >= kFewestSamples;
     if (!filled && !own.timeout_seen && ++worker.intervals < kMostIntervals) return;
     worker.thin = !filled;
-    const double least = std::floor(kCoreShare * worker.kind->cores / settings_.dispatchers);
-    if (filled || own.timeout_seen)
-      update_limit(own, worker.slots, 0.95, kMaxLimit, std::max(least, kMinLimit));
+    if (filled || own.timeout_seen) update_limit(own, worker.slots, 0.95, kMaxLimit);
     own.ratios.clear();
     worker.intervals = 0;
   }
@@ -248,12 +246,12 @@
     count(workers_.at(attempt.worker), attempt, ratio(now_ - attempt.sent, job.threshold));
   }
 
-  static void update_limit(Limiter& own, double slots, double q, double cut_from, double least) {
+  static void update_limit(Limiter& own, double slots, double q, double cut_from) {
     if (own.timeout_seen || quantile(own.ratios, q, kFullSample) > 1)
       own.limit = std::floor(std::min(own.limit, cut_from) * kBackoffRatio);
     else if (slots * 2 >= own.limit)
       own.limit += 1;
-    own.limit = std::clamp(own.limit, least, kMaxLimit);
+    own.limit = std::clamp(own.limit, kMinLimit, kMaxLimit);
     own.ratios.clear();
     own.timeout_seen = false;
   }
