Refuse a query that is still coming in late in an evacuation; join callers' threads without cutting any off

Seen in reading: a query in pieces may take 10 s by now, so one could begin at 3 s of an evacuation and be at work at 4 s, which breaks the rule on lost jobs. ClientSide::read_until ends that at 1.8 s with a 503, before anything was taken; a planned end has the same for its last 0.7 s. Management::make_room cut off the oldest of twelve silent callers each second though nobody new waited; an empty ROUTER_PASSED_SOCKET counts as none; the words to a next process may hold the longest ids.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -96,7 +96,8 @@
   auto config = woadtide::core::load_config(path);
   const char* management = std::getenv("ROUTER_MANAGEMENT");
   if (config.management.empty() && management) config.management = management;
-  if (const char* passed = std::getenv("ROUTER_PASSED_SOCKET")) config.passed_socket = descriptor(passed);
+  const char* passed = std::getenv("ROUTER_PASSED_SOCKET");
+  if (passed && *passed) config.passed_socket = descriptor(passed);
   if (const char* folder = std::getenv("TMPDIR")) config.folder = folder;
   woadtide::check_addresses(config);
   if (command == "serve") return serve(std::move(config), path);
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -237,6 +237,7 @@
   const auto read_on = [&] {
     std::size_t got = 0;
     const Io io = socket_.receive(data + size, kBufferBytes - size, got, until, side_.clock);
+    if (side_.clock.now() > side_.read_until) throw BadMessage(503, "clients are sent away");
     if (io == Io::late) throw BadMessage(408, "the rest did not come");
     size += got;
     until = std::min(std::max(until, side_.clock.now() + side_.gap_ms), last);
--- a/src/net/client_link.hpp
+++ b/src/net/client_link.hpp
@@ -31,6 +31,9 @@
   double message_ms = 10'000;      // its next queries must have come, an answer must have gone, within this
   std::atomic<bool> ready{false};  // what /health/ready says
   std::atomic<bool> draining{false};  // answers close their links
+  // What is still being read then is refused: with clients sent away, a query must not begin late.
+  static constexpr double kAlways = 1e18;
+  std::atomic<double> read_until{kAlways};
 };
 
 // Where a link stands, which says whether it may be closed to make room:
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -216,7 +216,7 @@
 // all have a query at work, new ones wait.
 void ClientLinks::make_room() {
   std::unique_lock lock(mutex_);
-  while (open_here() >= most_) {
+  while (open_here() >= most_ && !over_) {
     if (all_open_.due(side_.clock.now()))
       core::log_line("acceptor: all " + std::to_string(most_) + " client links are open, " +
                      std::to_string(at(Standing::fresh).size() + at(Standing::reading).size()) +
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -55,8 +55,10 @@
   for (;;) {
     const auto [come, woken] = wait_for(listener_.fd(), POLLIN, wake_.get(), clock_.now() + kReapMs, clock_);
     if (woken != 0) return;
+    reap();
+    if (come == 0) continue;
     make_room();
-    if (come != 0) accept_one();
+    accept_one();
   }
 }
 
@@ -81,17 +83,22 @@
   }
 }
 
-// Joins the threads of callers that are done. At the edge the oldest one that is owed no answer gives way:
-// some keep a link for seconds and say nothing whole, and the next call must not wait for them.
+// Joins the threads of callers that are done, outside the mutex, which they need for their end.
+void Management::reap() {
+  std::list<Caller> over;
+  const std::lock_guard lock(mutex_);
+  for (auto it = callers_.begin(); it != callers_.end();) {
+    const auto next = std::next(it);
+    if (it->over) over.splice(over.end(), callers_, it);
+    it = next;
+  }
+}
+
+// At the edge the oldest one that is owed no answer gives way: some keep a link for seconds and say nothing
+// whole, and the next call must not wait for them.
 void Management::make_room() {
-  for (;;) {
-    std::list<Caller> over;
+  for (;; reap()) {
     std::unique_lock lock(mutex_);
-    for (auto it = callers_.begin(); it != callers_.end();) {
-      const auto next = std::next(it);
-      if (it->over) over.splice(over.end(), callers_, it);
-      it = next;
-    }
     if (callers_.size() < kMostCallers) return;
     if (crowded_.due(clock_.now())) core::log_line("management: more callers than places");
     const auto shed =
--- a/src/net/management.hpp
+++ b/src/net/management.hpp
@@ -34,6 +34,7 @@
 
   void run();
   void accept_one();
+  void reap();
   void make_room();
   void serve(Caller& caller);
   bool read_line(Caller& caller, std::string& line);
--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr std::size_t kMostOutbox = 1'000'000;  // more than all ids that a process remembers
+constexpr std::size_t kMostOutbox = 2'000'000;  // more than all ids that a process remembers
 constexpr std::size_t kMostPeers = 3;
 constexpr std::array<std::string_view, 6> kNames = {"exclude", "include", "query",
                                                     "told",    "ready",   "unready"};
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -30,6 +30,9 @@
 constexpr double kLastQueriesMs = 700;  // time for the last queries taken: half and more are done in it
 constexpr double kLastAnswersMs = 150;
 
+// An evacuation must have no query of its last 2 s at 4 s.
+constexpr double kReadOnMs = 1'800;
+
 constexpr int kLoopMs = 900;     // a call is owed its answer in 1 s
 constexpr double kTellMs = 500;  // for the process that runs already to tell what it knows
 
@@ -162,8 +165,10 @@
 std::string Node::set_evacuated(bool evacuated) {
   const std::lock_guard lock(state_mutex_);
   if (ending_) return "error this process is ending\n";
-  if (evacuated != std::exchange(evacuated_, evacuated))
+  if (evacuated != std::exchange(evacuated_, evacuated)) {
     core::log_line(evacuated ? "evacuate: clients are sent away" : "activate: clients are taken again");
+    side_.read_until = evacuated ? clock_.now() + kReadOnMs : net::ClientSide::kAlways;
+  }
   side_.ready = !evacuated;
   kin_.set_ready(!evacuated);
   if (evacuated)
@@ -187,6 +192,7 @@
   const auto pause_until = [this](double until, bool while_open) {
     while (clock_.now() < until && (!while_open || clients_.open() > 0)) ::poll(nullptr, 0, 10);
   };
+  side_.read_until = last - kLastQueriesMs;
   if (side_.ready) {
     core::log_line("end: the next process takes the clients");
     clients_.leave_to_other();
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -81,6 +81,24 @@
   }
 }
 
+// Guards the same rule: a query that comes in pieces could begin at 3 s and be at work at 4 s.
+TEST_CASE("a query that is still coming in late in an evacuation is refused, and taken after activate") {
+  Served served(Hosts{});
+  for (const bool activated : {false, true}) {
+    Peer slow = served.client();
+    const std::string text = query_text(activated ? "a" : "b", "refund-payout");
+    slow.write(text.substr(0, 30));
+    served.call("evacuate\n");
+    if (activated) served.call("activate\n");
+    served.clock.set(served.clock.now() + 1'900);
+    slow.write(text.substr(30));
+    const std::string answer = slow.message();
+    CHECK(starts(answer, "HTTP/1.1 503 "));
+    CHECK(has(answer, "sent away") != activated);
+    served.call("activate\n");
+  }
+}
+
 TEST_CASE("an idle link is closed in an evacuation, and its end by SIGTERM cannot be undone") {
   Served served(Hosts{});
   Peer idle = served.client();
