--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -465,7 +465,7 @@
               core::read_host_list(
                   {{"seq", 1}, {"whole", true}, {"hosts", {host_json("w", worker.dial(), health)}}}),
               standing(), inbox, pool, kSilence),
-        servers({most, 5'000, 5'000, settle_ms}, clock, inbox, hosts, pool) {
+        servers({most, 5'000, 60'000, settle_ms}, clock, inbox, hosts, pool) {
     next();  // the remembered list
   }
   core::Clock& standing() {
