Keep cold workers outside the limit that thinly known workers share

A probe that logged, for every refusal, each worker's slots, limits and state showed: from 17.9 s to 20.8 s all refusals came from the shared limit (9 of 9 slots out), while four to six cold workers had nothing of ours. A process that has just started knows no worker well, so all are under that limit; the cold ones' answers, slow for want of capacity, cut it from 64 to 9 at the first look, and their slots counted in it.

Cause: count() and admits() took cold workers as thin. They have turns that ration them, and their lateness is no news of the others.

Room for it: looking at an overtaken job is one function now instead of two.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -232,11 +232,14 @@
     worker.intervals = 0;
   }
 
+  // A cold one's turns limit it already, and its slow answers say nothing of the others.
+  static bool is_thin(const Worker& worker) { return worker.thin && !worker.cold_since; }
+
   // One of many dispatchers has an answer from a given worker once in minutes. What is too thin to judge a
   // worker by is judged together, so that the limit still refuses when hundreds overfill a fleet.
   void count(Worker& worker, Attempt& attempt, double late) {
     worker.limiter.ratios.push_back(late);
-    if (worker.thin && !attempt.counted) shared_.ratios.push_back(late);
+    if (is_thin(worker) && !attempt.counted) shared_.ratios.push_back(late);
     attempt.counted = true;  // a few stuck jobs would outweigh all that go well
   }
 
@@ -276,7 +279,8 @@
   }
 
   bool admits(const Worker& worker, const Job& job) const {
-    if (worker.thin && shared_slots_ > 0 && shared_slots_ + job.request.slots > shared_.limit) return false;
+    if (is_thin(worker) && shared_slots_ > 0 && shared_slots_ + job.request.slots > shared_.limit)
+      return false;
     return worker.jobs == 0 || worker.slots + job.request.slots <= worker.limiter.limit;
   }
 
@@ -399,7 +403,7 @@
     health_of(worker, job).jobs += 1;
     worker.slots += job.request.slots;
     worker.work += job.work;
-    shared_used_ = std::max(shared_used_, shared_slots_ + (worker.thin ? job.request.slots : 0));
+    shared_used_ = std::max(shared_used_, shared_slots_ + (is_thin(worker) ? job.request.slots : 0));
     worker.last_cycle = worker.next_cycle;
     job.attempts.push_back({worker.entry.worker, now_, std::nullopt, true});
     actions_->push_back(Send{job.request.id, worker.entry.worker, Micros{0}});
@@ -484,25 +488,19 @@
   }
 
   // Workers start jobs in order: one sent earlier that has not started is stuck, as what is like it would be.
-  void look_at_overtaken(const Worker& worker, const Attempt& by) {
+  void look_at_overtaken(Worker& worker, const Attempt& by) {
     for (auto& [id, job] : jobs_)
       for (std::size_t i = 0; i < job.attempts.size(); ++i) {
         const Attempt& attempt = job.attempts[i];
         if (!attempt.out || attempt.began || attempt.worker != worker.entry.worker) continue;
-        if (attempt.sent + kOvertaken < by.sent) look_at_mute(id, static_cast<int>(i));
+        if (attempt.sent + kOvertaken >= by.sent) continue;
+        health_of(worker, job).mute = true;
+        if (!may_move(job, worker)) continue;
+        moves_left_ -= 1;
+        actions_->push_back(Cancel{id, static_cast<int>(i)});
       }
   }
 
-  void look_at_mute(const std::string& id, int number) {
-    const auto [found, attempt] = find_out(id, number);
-    const Job& job = found->second;
-    Worker& worker = workers_.at(attempt->worker);
-    health_of(worker, job).mute = true;
-    if (!may_move(job, worker)) return;
-    moves_left_ -= 1;
-    actions_->push_back(Cancel{id, number});
-  }
-
   void note_wait(Worker& worker, Micros seen) {
     worker.wait = seconds_span((expected_wait(worker) + seconds(seen)) / 2);
     worker.wait_at = now_;
@@ -675,7 +673,7 @@
 
   double slots_out(bool thin_only) const {
     double sum = 0;
-    for (const auto& [name, worker] : workers_) sum += worker.thin || !thin_only ? worker.slots : 0;
+    for (const auto& [name, worker] : workers_) sum += is_thin(worker) || !thin_only ? worker.slots : 0;
     return sum;
   }
 
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -153,6 +153,28 @@
   }
 }
 
+// A cold worker is slow for a while, and a process that has just started knows all workers too little: the
+// limit that they share fell by what the cold one did, and warm ones stood idle.
+TEST(ManyDispatchers, AColdWorkerIsNoNewsOfTheOthers) {
+  Driver d;
+  const std::vector<ListEntry> warm = {entry("w1"), entry("w2"), entry("w3")};
+  d.list(warm);
+  d.run("first", 100ms);
+  std::vector<ListEntry> away = warm;
+  for (ListEntry& one : away) one.state = WorkerState::draining;
+  d.list(away);
+  d.list_cold();
+  int late = 0;
+  for (int i = 0; i < 400 && late < 10; ++i) {
+    late += d.run("c" + std::to_string(i), 400ms).empty() ? 0 : 1;
+    d.pass(50ms);
+  }
+  ASSERT_EQ(late, 10);
+  d.pass(4s);
+  d.list(warm);
+  for (int i = 0; i < 4; ++i) EXPECT_NE(d.ask("w" + std::to_string(i)), "");
+}
+
 // Where late answers earn nothing, jobs past hope held the queue that others could still have used.
 TEST(Start, AJobThatCanOnlyBeLateIsGivenUpWhereThatEarnsNothing) {
   for (const double late_worth : {0.0, 0.3}) {
