Leave the turns at cold workers to the process that takes clients

Both processes count two sharers until the old one has ended, up to 3.3 s after its SIGTERM, though it takes no query after the first moments: half of the turns were nobody's.

Change: Succession counts, besides the process itself, those that say `ready`, and tells the loop whenever that changes; Node::share_out no longer does. Descriptors and memory stay split until the other has ended. The process that is leaving counts both, so what both may send to a cold worker is 1.5 of one share at the most, 0.75 of what it stands with kTurnMargin.

--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -132,8 +132,8 @@
 struct Include {  // the worker may serve again; it is taken to be cold
   std::string worker;
 };
-// How many processes send as this dispatcher, in an upgrade: what is due to a cold worker is due to them
-// together.
+// How many processes take clients as this dispatcher, in an upgrade: what is due to a cold worker is due to
+// them together.
 struct Sharers {
   int processes = 1;
 };
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -50,7 +50,7 @@
 struct KinSaid {
   Word word;
 };
-struct Sharers {  // how many processes of this dispatcher live
+struct Sharers {  // how many processes of this dispatcher take clients, this one counted
   int processes = 1;
 };
 struct OperatorCall {
--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -134,6 +134,7 @@
 // Until the other one ends, or its process does.
 void Succession::read(Peer& peer) {
   shared_(processes());
+  tell_sharers();
   std::string come;
   std::array<char, 4096> bytes{};
   for (;;) {
@@ -157,6 +158,7 @@
   if (stopping_) return;
   core::log_line("upgrade: the other process has ended");
   shared_(processes());
+  tell_sharers();
 }
 
 void Succession::write(Peer& peer) {
@@ -193,7 +195,8 @@
     case Word::Kind::ready:
     case Word::Kind::unready:
       peer.ready = word.kind == Word::Kind::ready;
-      return;
+      lock.unlock();
+      return tell_sharers();
     case Word::Kind::exclude:
     case Word::Kind::include:
     case Word::Kind::query:
@@ -237,6 +240,14 @@
   return 1 + static_cast<std::size_t>(live);
 }
 
+// One that takes no clients any more has next to nothing left to send: its turns at cold workers go to the
+// others. Itself a process always counts.
+void Succession::tell_sharers() {
+  const std::lock_guard lock(mutex_);
+  const auto others = std::count_if(peers_.begin(), peers_.end(), [](const Peer& p) { return p.ready; });
+  inbox_.put(core::Sharers{1 + static_cast<int>(others)});
+}
+
 // Threads are joined outside the mutex, which they need for their end.
 void Succession::reap() {
   std::list<Peer> ended;
--- a/src/net/succession.hpp
+++ b/src/net/succession.hpp
@@ -54,6 +54,7 @@
   void put(Peer& peer, const core::Word& word);
   void reap();
   std::size_t processes();
+  void tell_sharers();
 
   core::Inbox& inbox_;
   const std::function<void(std::size_t)> shared_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -133,7 +133,6 @@
   servers_.set_most(budget.server_links);
   client_pool_.set_most(budget.client_buffers);
   worker_pool_.set_most(budget.worker_buffers);
-  inbox_.put(core::Sharers{static_cast<int>(processes)});
   core::log_line("upgrade: " + std::to_string(processes) + " process(es), client links " +
                  std::to_string(budget.client_links) + ", server links " +
                  std::to_string(budget.server_links));
--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -122,6 +122,34 @@
   CHECK_THROWS_AS(net::Socket::adopt_listener(12345), std::runtime_error);
 }
 
+// Guards cold workers' use in an upgrade: the old process kept half of the turns at them and sent nothing.
+TEST_CASE("one that takes clients no more leaves its turns at cold workers to the other") {
+  Platform platform;
+  core::Inbox old_inbox, next_inbox;
+  const auto unused = [](std::size_t) {};
+  net::Succession old(old_inbox, unused), next(next_inbox, unused);
+  const auto await = [](core::Inbox& inbox, int sharers) {
+    for (int tries = 0; tries < 100; ++tries, inbox.wait(100))
+      for (const core::Message& message : inbox.take())
+        if (const auto* told = std::get_if<core::Sharers>(&message); told && told->processes == sharers)
+          return;
+    FAIL("never " << sharers);
+  };
+  old.meet(platform.folder, "s", 0);
+  old.set_ready(true);
+  next.meet(platform.folder, "s", 0);
+  await(next_inbox, 2);
+  await(old_inbox, 1);
+  next.set_ready(true);
+  await(old_inbox, 2);
+  old.set_ready(false);
+  await(next_inbox, 1);
+  old.set_ready(true);
+  await(next_inbox, 2);
+  next.end();
+  await(old_inbox, 1);
+}
+
 TEST_CASE("two processes share one budget") {
   for (const std::size_t allowed : {128, 256, 1024})
     for (const std::size_t memory_mb : {16, 32, 192}) {
