Let a witness hear how executions go; read query heads in one place for every front

Durable jobs need to hear heartbeats and endings before the loop acts on them, and a second front over HTTP needs the same figures from a query's head. The decision loop tells a Witness (none by default), ExecutionEnded says whether the failure is the worker's own word, HostGroup knows a worker's kind, and net/query_head holds what client_link had to itself. A refused safe job stays refused, whatever ran before: it may be sent again.

--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -17,7 +17,7 @@
 
 DecisionLoop::DecisionLoop(woadtide::Settings settings, std::vector<std::string> class_names,
                            std::uint64_t seed, Clock& clock, Inbox& inbox, Executor& executor,
-                           HostSource& hosts, Kin& kin)
+                           HostSource& hosts, Kin& kin, Witness* witness)
     : class_names_(std::move(class_names)),
       dispatcher_(std::move(settings), seed),
       clock_(clock),
@@ -25,6 +25,7 @@
       executor_(executor),
       hosts_(hosts),
       kin_(kin),
+      witness_(witness),
       totals_(class_names_.size()),
       counted_since_(clock.now()) {}
 
@@ -127,19 +128,22 @@
 }
 
 void DecisionLoop::take(ExecutionStarted& message) {
+  if (witness_) witness_->heard(message.key);
   feed(woadtide::JobStarted{message.key.query, message.key.attempt});
 }
 
 void DecisionLoop::take(ExecutionProgress& message) {
+  if (witness_) witness_->heard(message.key);
   feed(woadtide::JobProgress{message.key.query, message.key.attempt});
 }
 
 void DecisionLoop::take(ExecutionEnded& message) {
   const auto found = queries_.find(message.key.query);
   if (found == queries_.end()) return;
+  if (witness_ && is_out(message.key))
+    witness_->ended(message.key, message.status, message.result, message.failed || message.bad_query);
   // Only the first result reaches the client, and before the module hears of it: it is owed at once.
-  if (message.status == Status::ok && found->second.asker &&
-      found->second.executions.at(static_cast<std::size_t>(message.key.attempt)).out)
+  if (message.status == Status::ok && found->second.asker && is_out(message.key))
     settle(found->second, {AnswerKind::served, std::move(message.result)});
   // What is wrong with the query is no news of the worker, which the module would leave alone for it, and no
   // other worker would take it.
@@ -270,6 +274,13 @@
   std::exchange(open.asker, nullptr)->answer(std::move(answer));
 }
 
+bool DecisionLoop::is_out(const ExecutionKey& key) const {
+  const auto found = queries_.find(key.query);
+  const auto place = static_cast<std::size_t>(key.attempt);
+  return found != queries_.end() && place < found->second.executions.size() &&
+         found->second.executions[place].out;
+}
+
 // Each execution's outcome reaches the module exactly once, also when its query is settled.
 void DecisionLoop::end(const ExecutionKey& key, Status status) {
   const auto found = queries_.find(key.query);
@@ -291,10 +302,9 @@
 }
 
 void DecisionLoop::time_out(const ExecutionKey& key) {
-  const auto found = queries_.find(key.query);
-  if (found == queries_.end() || !found->second.executions.at(static_cast<std::size_t>(key.attempt)).out)
-    return;
+  if (!is_out(key)) return;
   executor_.cancel(key);
+  if (witness_) witness_->ended(key, Status::timeout, {}, false);
   end(key, Status::timeout);
 }
 
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -22,7 +22,8 @@
 class DecisionLoop {
  public:
   DecisionLoop(woadtide::Settings settings, std::vector<std::string> class_names, std::uint64_t seed,
-               Clock& clock, Inbox& inbox, Executor& executor, HostSource& hosts, Kin& kin);
+               Clock& clock, Inbox& inbox, Executor& executor, HostSource& hosts, Kin& kin,
+               Witness* witness = nullptr);
 
   // Until a Stop comes.
   void run();
@@ -96,6 +97,7 @@
   const char* wrong_with(const Query& query, bool class_known) const;
   void feed(const woadtide::Event& event);
   void settle(Open& open, Answer answer);
+  bool is_out(const ExecutionKey& key) const;
   void end(const ExecutionKey& key, woadtide::Status status);
   void time_out(const ExecutionKey& key);
   void on_deadline(const std::string& id);
@@ -112,6 +114,7 @@
   Executor& executor_;
   HostSource& hosts_;
   Kin& kin_;
+  Witness* const witness_;  // may be none
   Queries queries_;
   Spent spent_;
   std::multimap<double, Timer> timers_;
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -38,6 +38,7 @@
   woadtide::Status status = woadtide::Status::error;
   std::string result;      // with Status::ok
   bool bad_query = false;  // the worker found the query itself wrong
+  bool failed = false;     // the worker said that it ran and failed
 };
 struct ProbeEnded {
   std::string worker;
--- a/src/core/query.hpp
+++ b/src/core/query.hpp
@@ -70,6 +70,16 @@
   virtual void exclude(const std::string& worker, bool excluded) = 0;
 };
 
+// Hears how executions go, on the loop's thread and before the loop acts on it. No call may block.
+class Witness {
+ public:
+  virtual ~Witness() = default;
+  virtual void heard(const ExecutionKey& key) = 0;  // it started, or goes on
+  // Its one ending. `told`: the worker's own last word on it, that it failed or cannot use the query.
+  virtual void ended(const ExecutionKey& key, woadtide::Status status, const std::string& result,
+                     bool told) = 0;
+};
+
 // Where the list of workers comes from.
 class HostSource {
  public:
--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -92,15 +92,10 @@
   set(now, open, State::taken);
 }
 
-void Table::never_ran(double now, Open& open, const std::string& why) {
-  finish(now, open, open.job.may_have_run ? State::failed : State::refused, why);
-}
-
 // Whether an at-most-once job ran is not known here. Its worker is asked, under a higher epoch: whatever
 // still comes from the old one changes nothing, here or there.
 void Table::doubt(double now, Open& open, const std::string& why) {
   Job& job = open.job;
-  job.may_have_run = true;
   if (!job.answers || now >= open.give_up) return finish(now, open, State::in_doubt, why);
   job.epoch += 1;
   job.why = why;
@@ -119,7 +114,6 @@
   job.repeat = event.repeat;
   job.deadline = event.deadline;
   job.epoch = event.epoch;
-  job.may_have_run = event.may_have_run;
   add(std::move(job), event.deadline);
   out_->push_back(Dispatch{event.key});
 }
@@ -131,8 +125,7 @@
   Job& job = open.job;
   const bool was_out = job.state != State::taken;
   if (was_out && job.repeat == Repeat::once) return doubt(now, open, "the dispatcher ended while it was out");
-  if (was_out) job.may_have_run = true;
-  if (now >= job.deadline) return never_ran(now, open, "its time ran out");
+  if (now >= job.deadline) return finish(now, open, State::refused, "its time ran out");
   open.give_up = job.deadline;
   release(now, open);
   out_->push_back(Dispatch{job.key});
@@ -147,7 +140,6 @@
   // A second lease beside one that may be running: for a safe job it ends the first, for a payout never.
   const bool allowed = job.state == State::taken || (out && job.repeat == Repeat::safe);
   if (!allowed || open.asking || now >= job.deadline) return out_->push_back(Unsend{event.key});
-  if (out) job.may_have_run = true;
   job.epoch += 1;
   job.worker = event.worker;
   job.ledger = event.ledger;
@@ -178,12 +170,10 @@
       out_->push_back(Write{event.key, true});
       return release(now, *open);
     case End::failed:
-      open->job.may_have_run = true;
       if (open->job.repeat == Repeat::once) return finish(now, *open, State::failed, "its worker said so");
       return release(now, *open);
     case End::unknown:
       if (open->job.repeat == Repeat::once) return doubt(now, *open, "its worker was lost");
-      open->job.may_have_run = true;
       return release(now, *open);
   }
 }
@@ -192,11 +182,14 @@
   const auto found = jobs_.find(event.key);
   if (found == jobs_.end() || is_final(found->second.job.state)) return;
   Open& open = found->second;
-  if (open.job.state == State::taken)
-    return never_ran(now, open, event.refused ? "no worker had room" : "no worker could be reached");
+  if (open.job.state == State::taken) {
+    // A payout that is taken never ran. A safe job may have, and then the module's word is that it failed.
+    if (event.refused || open.job.repeat == Repeat::once)
+      return finish(now, open, State::refused, "no worker had room for it");
+    return finish(now, open, State::failed, "no worker could finish it");
+  }
   if (open.asking) return;
   if (open.job.repeat == Repeat::once) return doubt(now, open, "its time ran out");
-  open.job.may_have_run = true;
   finish(now, open, State::failed, "its time ran out");
 }
 
@@ -222,8 +215,7 @@
       // A ledger that is not the one we knew may have lost the job.
       if (event.ledger.empty() || event.ledger != job.ledger)
         return finish(now, *open, State::in_doubt, "its worker has another ledger than before");
-      job.may_have_run = false;
-      if (now >= job.deadline) return never_ran(now, *open, "its time ran out");
+      if (now >= job.deadline) return finish(now, *open, State::refused, "its time ran out");
       open->give_up = job.deadline;
       out_->push_back(Write{job.key, true});
       release(now, *open);
@@ -235,7 +227,7 @@
   const auto found = jobs_.find(event.key);
   if (found == jobs_.end() || found->second.job.state != State::taken) return;
   out_->push_back(Retract{event.key});
-  never_ran(now, found->second, "withdrawn by its client");
+  finish(now, found->second, State::refused, "withdrawn by its client");
 }
 
 void Table::on(double now, const Tick&) {
@@ -249,8 +241,7 @@
   Job& job = open.job;
   if (now >= open.give_up) {
     out_->push_back(Retract{job.key});
-    if (job.state == State::taken) return never_ran(now, open, "its time ran out");
-    job.may_have_run = true;
+    if (job.state == State::taken) return finish(now, open, State::refused, "its time ran out");
     return finish(now, open, job.repeat == Repeat::once ? State::in_doubt : State::failed,
                   "its time ran out");
   }
@@ -261,7 +252,6 @@
   }
   // No heartbeat for a whole lease.
   if (job.repeat == Repeat::once) return doubt(now, open, "its heartbeats stopped");
-  job.may_have_run = true;
   out_->push_back(Retract{job.key});
   release(now, open);
   out_->push_back(Dispatch{job.key});
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -33,9 +33,8 @@
   std::string worker;       // that the newest lease is at
   std::string ledger;       // id of the worker's ledger when it was given; empty: not known
   bool answers = false;     // that worker can be asked about jobs
-  bool may_have_run = false;
-  double changed = 0;  // when its state last changed
-  std::string why;     // of a final state, for people
+  double changed = 0;       // when its state last changed
+  std::string why;          // of a final state, for people
 };
 
 struct Settings {
@@ -52,7 +51,6 @@
   Repeat repeat = Repeat::once;
   double deadline = 0;
   std::uint64_t epoch = 0;
-  bool may_have_run = false;
 };
 struct Recovered {  // read from the store at the start
   Job job;
@@ -161,7 +159,6 @@
   void finish(double now, Open& open, State state, std::string why);
   void release(double now, Open& open);
   void doubt(double now, Open& open, const std::string& why);
-  void never_ran(double now, Open& open, const std::string& why);
   void schedule(Open& open);
 
   Settings settings_;
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -4,16 +4,14 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <cmath>
 #include <cstdio>
 #include <cstring>
-#include <initializer_list>
 #include <utility>
 #include <vector>
 
 #include "core/log.hpp"
 #include "net/client_links.hpp"
+#include "net/query_head.hpp"
 
 namespace woadtide::net {
 
@@ -22,117 +20,10 @@
 namespace {
 
 constexpr std::size_t kMostId = 128;
-constexpr double kMostBudgetMs = 1e9, kMostCostMicros = 1e12, kMostSlots = 1e6;
 // For the word on what is wrong, and for what still comes behind it. With first_ms it keeps what a client
 // that sends nothing good is owed, an error or a close in 3 s, and leaves something for a late accept.
 constexpr double kLastWordMs = 500;
 
-std::string_view reason(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 408:
-      return "Request Timeout";
-    case 413:
-      return "Content Too Large";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Error";
-  }
-}
-
-// Plain decimal digits, a fraction at most, up to `most`. from_chars alone would take "nan" and "inf" too:
-// they pass or fail every comparison, and one of them as a deadline would break the order of the loop's
-// timers.
-std::optional<double> number(std::string_view text, double most) {
-  double value = 0;
-  const char* const last = text.data() + text.size();
-  if (text.empty() || text.front() < '0' || text.front() > '9') return std::nullopt;
-  const auto [end, error] = std::from_chars(text.data(), last, value, std::chars_format::fixed);
-  if (error != std::errc{} || end != last || !std::isfinite(value) || value > most) return std::nullopt;
-  return value;
-}
-
-// "480m" or "1500u".
-std::optional<double> budget_ms(std::string_view text) {
-  if (text.empty()) return std::nullopt;
-  const char unit = text.back();
-  const double in_ms = unit == 'u' ? 1000 : 1;
-  const auto value = number(text.substr(0, text.size() - 1), kMostBudgetMs * in_ms);
-  if (!value || (unit != 'm' && unit != 'u')) return std::nullopt;
-  return *value / in_ms;
-}
-
-// `name` in "name=value,name=value".
-std::optional<std::string_view> figure(std::string_view pairs, std::string_view name) {
-  while (!pairs.empty()) {
-    const std::string_view pair = pairs.substr(0, pairs.find(','));
-    pairs.remove_prefix(std::min(pairs.size(), pair.size() + 1));
-    if (pair.starts_with(name) && pair.substr(name.size()).starts_with('='))
-      return pair.substr(name.size() + 1);
-  }
-  return std::nullopt;
-}
-
-bool is_one_of(std::string_view name, std::initializer_list<std::string_view> names) {
-  return std::any_of(names.begin(), names.end(), [&](std::string_view one) { return same_name(one, name); });
-}
-
-// Of one link only, or written anew for the worker.
-bool is_passed_on(std::string_view name) {
-  return !is_one_of(name, {"Host", "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade",
-                           "Transfer-Encoding", "Expect", "Content-Length", "X-Budget"});
-}
-
-// What the loop or a worker goes by. Twice, or named as meant for this link only, it could be read in two
-// ways: the worker could run another query than the one that was decided on.
-void check_unambiguous(const Head& head) {
-  const std::initializer_list<std::string_view> once = {
-      "Host", "X-Call-Id", "X-Call-Class", "X-Budget", "X-Call-Cost", "X-Call-Info", "X-Again"};
-  for (auto field = head.fields.begin(); field != head.fields.end(); ++field) {
-    if (!is_one_of(field->name, once)) continue;
-    const auto again = [&](const Field& other) { return same_name(other.name, field->name); };
-    if (std::any_of(field + 1, head.fields.end(), again) || head.connection_names(field->name))
-      throw BadMessage(400, std::string(field->name) + " is ambiguous");
-  }
-}
-
-void read_fields(const Head& head, core::Query& query, double received) {
-  check_unambiguous(head);
-  const auto id = head.find("X-Call-Id"), kind = head.find("X-Call-Class"), budget = head.find("X-Budget");
-  if (!id || id->size() > kMostId || !is_token(*id))
-    throw BadMessage(400, "X-Call-Id is missing or malformed");
-  if (!kind) throw BadMessage(400, "X-Call-Class is missing");
-  const auto wait = budget_ms(budget.value_or(""));
-  if (!wait) throw BadMessage(400, "X-Budget is missing or malformed");
-  query.id = *id;
-  query.class_name = *kind;
-  query.deadline = received + *wait;
-  if (const auto told = head.find("X-Call-Cost")) {
-    const auto cost = number(*told, kMostCostMicros);
-    if (!cost) throw BadMessage(400, "X-Call-Cost is malformed");
-    query.cost_ms = *cost / 1000;
-  }
-  if (const auto told = figure(head.find("X-Call-Info").value_or(""), "slots")) {
-    const auto slots = number(*told, kMostSlots);
-    if (!slots || *slots <= 0) throw BadMessage(400, "X-Call-Info's slots are malformed");
-    query.slots = *slots;
-  }
-}
-
 }  // namespace
 
 struct ClientLink::Held {
@@ -282,7 +173,13 @@
     if (is_passed_on(field.name) && !head.connection_names(field.name))
       held->fields.append(field.name).append(": ").append(field.value).append("\r\n");
   query.parcel = {nullptr, head.method, head.target, held->fields, std::move(body)};
-  if (head.method == "POST") read_fields(head, query, side_.clock.now());
+  if (head.method == "POST") {
+    read_figures(head, query, side_.clock.now());
+    const auto id = head.find("X-Call-Id");
+    if (!id || id->size() > kMostId || !is_token(*id))
+      throw BadMessage(400, "X-Call-Id is missing or malformed");
+    query.id = *id;
+  }
   return held;
 }
 
@@ -321,11 +218,7 @@
 // False when the link is to be closed after it.
 bool ClientLink::write(int status, std::string_view fields, std::string_view body, bool closes) {
   closes = closes || side_.draining;
-  std::string head = "HTTP/1.1 " + std::to_string(status) + ' ';
-  head.append(reason(status)).append("\r\n").append(fields);
-  head.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
-  if (closes) head.append("Connection: close\r\n");
-  head.append("\r\n");
+  const std::string head = answer_head(status, fields, body.size(), closes);
   const double until = side_.clock.now() + side_.message_ms;
   return socket_.send({head, body}, until, side_.clock) == Io::done && !closes;
 }
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -132,7 +132,8 @@
   std::map<std::string, Known> told;
   core::ListTold message{{kind, {}}};
   for (const core::Host& host : list.hosts) {
-    told.insert_or_assign(host.entry.worker, Known{Address(host.dial), host.dial, host.entry.state});
+    told.insert_or_assign(host.entry.worker,
+                          Known{Address(host.dial), host.dial, host.entry.state, host.entry.kind});
     message.update.entries.push_back(host.entry);
   }
   const std::lock_guard lock(mutex_);
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -26,6 +26,7 @@
     Address address;
     std::string dial;
     woadtide::WorkerState state = woadtide::WorkerState::gone;
+    std::string kind = {};
   };
 
   // The remembered list goes to the Inbox at once.
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -315,7 +315,7 @@
     const nlohmann::json state = event.value("state", nlohmann::json());
     if (state == "started") inbox_.put_hint(core::ExecutionStarted{key});
     if (state == "running") inbox_.put_hint(core::ExecutionProgress{key});
-    if (state == "failed") return {Status::error};
+    if (state == "failed") return {Status::error, {}, false, true};
     if (state == "returned") return {Status::full};
     if (state == "lost") return {Status::reset};
     if (state != "done") continue;
@@ -351,8 +351,8 @@
   if (task.probe)
     inbox_.put(core::ProbeEnded{task.execution.worker, ending.status});
   else
-    inbox_.put(
-        core::ExecutionEnded{task.execution.key, ending.status, std::move(ending.result), ending.bad_query});
+    inbox_.put(core::ExecutionEnded{task.execution.key, ending.status, std::move(ending.result),
+                                    ending.bad_query, ending.failed});
 }
 
 }  // namespace woadtide::net
--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -52,6 +52,7 @@
     woadtide::Status status = woadtide::Status::error;
     std::string result = {};
     bool bad_query = false;
+    bool failed = false;  // the worker's word
   };
   struct Link {
     std::string worker, dial;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -186,6 +186,7 @@
     run("CREATE TABLE IF NOT EXISTS part(id INTEGER PRIMARY KEY, form INTEGER NOT NULL, data BLOB NOT NULL,"
         " sum INTEGER NOT NULL)");
     run("CREATE INDEX IF NOT EXISTS job_open ON job(id) WHERE open=1");
+    run("CREATE INDEX IF NOT EXISTS job_kept ON job(id) WHERE open=2");
     run("CREATE INDEX IF NOT EXISTS job_closed ON job(changed) WHERE open=0");
     run("CREATE INDEX IF NOT EXISTS job_plain ON job(id) WHERE open=0 AND packed=0");
     if (version < kVersion) {
@@ -241,7 +242,10 @@
       "INSERT INTO job(key,open,changed,meta,sum) VALUES(?1,?2,?3,?4,?5) ON CONFLICT(key) DO UPDATE SET "
       "open=?2,changed=?3,packed=0,meta=?4,sum=?5 RETURNING id");
   for (const Record& record : records) {
-    put.text(1, record.key).number(2, record.open).real(3, record.changed).text(4, record.meta);
+    put.text(1, record.key)
+        .number(2, static_cast<int>(record.standing))
+        .real(3, record.changed)
+        .text(4, record.meta);
     put.number(5, sum_of(record.key, record.meta)).step();
     const std::int64_t id = put.number_at(0);
     put.reset();
@@ -255,7 +259,7 @@
 Record read_row(Statement& row, Store::File& file) {
   Record record;
   record.key = row.text_at(0);
-  record.open = row.number_at(1) != 0;
+  record.standing = static_cast<Standing>(row.number_at(1));
   record.changed = row.real_at(2);
   record.meta = row.text_at(3);
   if (row.number_at(4) != sum_of(record.key, record.meta)) file.damaged(record.key);
@@ -274,21 +278,22 @@
 std::optional<std::string> Store::body(const std::string& key) { return file_->part(key, kBody); }
 std::optional<std::string> Store::result(const std::string& key) { return file_->part(key, kResult); }
 
-void Store::read_open(const std::function<void(Record)>& take) {
-  Statement rows(*file_, "SELECT key,open,changed,meta,sum FROM job WHERE open=1 ORDER BY id");
-  while (rows.step()) take(read_row(rows, *file_));
-}
-
-void Store::read_closed(std::size_t most, const std::function<bool(Record)>& take) {
-  Statement rows(*file_, "SELECT key,open,changed,meta,sum FROM job WHERE open=0 ORDER BY changed DESC");
-  for (std::size_t count = 0; count < most && rows.step();)
-    if (take(read_row(rows, *file_))) count += 1;
+void Store::read(Standing standing, const std::function<bool(Record)>& take) {
+  const auto* sql = standing == Standing::open
+                        ? "SELECT key,open,changed,meta,sum FROM job WHERE open=1 ORDER BY id"
+                    : standing == Standing::kept
+                        ? "SELECT key,open,changed,meta,sum FROM job WHERE open=2 ORDER BY id"
+                        : "SELECT key,open,changed,meta,sum FROM job WHERE open=0 ORDER BY changed DESC";
+  Statement rows(*file_, sql);
+  while (rows.step() && take(read_row(rows, *file_))) {
+  }
 }
 
 double Store::newest() {
   double newest = 0;
   for (const char* sql :
-       {"SELECT max(changed) FROM job WHERE open=0", "SELECT max(changed) FROM job WHERE open=1"}) {
+       {"SELECT max(changed) FROM job WHERE open=0", "SELECT max(changed) FROM job WHERE open=1",
+        "SELECT max(changed) FROM job WHERE open=2"}) {
     Statement look(*file_, sql);
     if (look.step()) newest = std::max(newest, look.real_at(0));
   }
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -25,10 +25,13 @@
   Trouble trouble;
 };
 
+// open: read at the start; kept: neither read at the start nor compacted; closed: compacted once it is old.
+enum class Standing { closed = 0, open = 1, kept = 2 };
+
 struct Record {
   std::string key;
-  std::string meta;                                   // the owner's, opaque here
-  bool open = true;                                   // is read at the start, and never compacted
+  std::string meta;  // the owner's, opaque here
+  Standing standing = Standing::open;
   double changed = 0;                                 // Unix ms; compaction goes by it
   std::optional<std::string> body = {}, result = {};  // absent: as it was
 };
@@ -53,9 +56,9 @@
   std::optional<Record> find(const std::string& key);  // without body and result
   std::optional<std::string> body(const std::string& key);
   std::optional<std::string> result(const std::string& key);
-  void read_open(const std::function<void(Record)>& take);
-  // Those that are not open, the newest change first, at most `most`.
-  void read_closed(std::size_t most, const std::function<bool(Record)>& take);
+  // Closed ones with the newest change first, the others in the order of their first record. Ends when `take`
+  // returns false.
+  void read(Standing standing, const std::function<bool(Record)>& take);
   // The newest `changed` of all records, 0 where there are none.
   double newest();
 
