--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -9,7 +9,14 @@
 
 namespace woadtide::core {
 
+namespace {
+LogSink log_sink = nullptr;
+}
+
+void set_log_sink(LogSink sink) { log_sink = sink; }
+
 void log_line(std::string_view text) {
+  if (log_sink) return log_sink(text);
   const auto now = std::chrono::system_clock::now();
   const std::time_t second = std::chrono::system_clock::to_time_t(now);
   const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -6,6 +6,10 @@
 namespace woadtide::core {
 
 void log_line(std::string_view text);
+// From here on lines go there instead, without time; nullptr: to standard error again. Before the first
+// thread.
+using LogSink = void (*)(std::string_view text);
+void set_log_sink(LogSink sink);
 
 // For lines that could come by the hundred, by one thread at a time: one in five seconds is enough.
 class Seldom {
--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -131,6 +131,16 @@
   out_->push_back(Dispatch{job.key});
 }
 
+void Table::on(double now, const Resumed& event) {
+  if (event.job.state != State::leased && event.job.state != State::running)
+    return on(now, Recovered{event.job});
+  if (jobs_.contains(event.job.key)) return;
+  Open& open = add(event.job, event.job.deadline);
+  open.written = true;
+  open.until = now + settings_.lease_ms;
+  schedule(open);
+}
+
 void Table::on(double now, const Chosen& event) {
   const auto found = jobs_.find(event.key);
   if (found == jobs_.end()) return out_->push_back(Unsend{event.key});
--- a/src/lease/lease.hpp
+++ b/src/lease/lease.hpp
@@ -55,6 +55,9 @@
 struct Recovered {  // read from the store at the start
   Job job;
 };
+struct Resumed {  // the same, but this very process still has its execution out
+  Job job;
+};
 struct Chosen {  // the module wants it to go to this worker
   std::string key, worker, ledger;
   bool answers = false;
@@ -85,7 +88,7 @@
 };
 struct Tick {};
 
-using Event = std::variant<Take, Recovered, Chosen, Heard, Ended, GivenUp, Answered, Withdraw, Tick>;
+using Event = std::variant<Take, Recovered, Resumed, Chosen, Heard, Ended, GivenUp, Answered, Withdraw, Tick>;
 
 // Effects ------------------------------------------------------------------------------------------------
 
@@ -144,6 +147,7 @@
 
   void on(double now, const Take& event);
   void on(double now, const Recovered& event);
+  void on(double now, const Resumed& event);
   void on(double now, const Chosen& event);
   void on(double now, const Heard& event);
   void on(double now, const Ended& event);
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -199,8 +199,7 @@
     }
     return errno != EAGAIN && errno != EWOULDBLOCK && errno != EBADF && errno != EINVAL;
   }
-  const int on = 1;
-  ::setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  socket.set_no_delay();
   try {
     // Under the mutex until it is in the list: its thread may say at once where it stands.
     const std::lock_guard lock(mutex_);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -57,10 +57,12 @@
 Socket Socket::make(const Address& address) {
   Socket socket{Fd(::socket(address.storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0))};
   if (!socket) fail("socket");
-  set(socket.fd(), IPPROTO_TCP, TCP_NODELAY, 1);
+  socket.set_no_delay();
   return socket;
 }
 
+void Socket::set_no_delay() const { set(fd(), IPPROTO_TCP, TCP_NODELAY, 1); }
+
 Socket Socket::listen_at(const Address& address) {
   Socket socket = make(address);
   set(socket.fd(), SOL_SOCKET, SO_REUSEADDR, 1);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -66,6 +66,7 @@
   bool stays_open(double ms) const;
   void shut(int how = SHUT_RDWR) const { ::shutdown(fd_.get(), how); }
 
+  void set_no_delay() const;
   int fd() const { return fd_.get(); }
   explicit operator bool() const { return static_cast<bool>(fd_); }
   int port() const;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -78,7 +78,7 @@
   for (const core::Host& host : config.known.hosts) net::Address(host.dial);
 }
 
-Node::Node(core::Config config, core::Clock& clock)
+Node::Node(core::Config config, core::Clock& clock, const Adder& adder)
     : clock_(clock),
       longest_ms_(longest_deadline(config.settings)),
       sockets_(config.sockets),
@@ -96,7 +96,11 @@
       hosts_(config.discovery, config.known, clock, inbox_, worker_pool_),
       servers_(server_limits(config.settings, budget_), clock, inbox_, hosts_, worker_pool_),
       kin_(inbox_, [this](std::size_t processes) { share_out(processes); }),
-      loop_(config.settings, config.class_names, config.seed, clock, inbox_, servers_, hosts_, kin_),
+      addition_(adder ? adder({config.settings, config.class_names, clock, inbox_, servers_, hosts_})
+                      : nullptr),
+      loop_(config.settings, config.class_names, config.seed, clock, inbox_,
+            addition_ ? addition_->executor() : servers_, hosts_, kin_,
+            addition_ ? addition_->witness() : nullptr),
       loop_thread_("decisions", [this] { loop_.run(); }),
       stopper_{inbox_},
       side_{clock, inbox_, client_pool_, lookout_},
@@ -108,6 +112,7 @@
                   static_cast<unsigned long long>(hash_of(config.name + ' ' + config.listen)));
     kin_.meet(config.folder, name, kTellMs);
   }
+  if (addition_) addition_->open();
   clients_.start();
   side_.ready = true;
   kin_.set_ready(true);
@@ -124,7 +129,10 @@
   core::log_line("reload: done, discovery at " + config.discovery);
 }
 
-Node::~Node() { kin_.end(); }  // before all that share_out() touches
+Node::~Node() {
+  if (addition_) addition_->close();
+  kin_.end();  // before all that share_out() touches
+}
 
 // Two processes are one dispatcher to the platform: together they stay within what it allows.
 void Node::share_out(std::size_t processes) {
@@ -189,7 +197,8 @@
     kin_.set_ready(false);
   }
   const auto pause_until = [this](double until, bool while_open) {
-    while (clock_.now() < until && (!while_open || clients_.open() > 0)) ::poll(nullptr, 0, 10);
+    const auto is_busy = [this] { return clients_.open() > 0 || (addition_ && addition_->busy() > 0); };
+    while (clock_.now() < until && (!while_open || is_busy())) ::poll(nullptr, 0, 10);
   };
   side_.read_until = last - kLastQueriesMs;
   if (side_.ready) {
@@ -201,6 +210,7 @@
   }
   pause_until(clock_.now() + kLastAnswersMs, false);
   pause_until(last, true);
+  if (addition_) addition_->close();  // what it has out stays on its disk as it is
   inbox_.put(core::FinishAll{});
   pause_until(last + kLastAnswersMs, true);
   core::log_line("end: done, " + std::to_string(clients_.open()) + " client links open");
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -1,6 +1,8 @@
 // One whole dispatcher: the parts put together, from its config to its end.
 #pragma once
 
+#include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -29,10 +31,31 @@
 // Throws std::invalid_argument where an address in it cannot be one.
 void check_addresses(const core::Config& config);
 
+// What an operator's file can add to a node: it stands between the loop and the links to workers. The node
+// gives it `Parts`, which outlive it.
+struct Parts {
+  const woadtide::Settings& settings;           // until the adder returns
+  const std::vector<std::string>& class_names;  // the same
+  core::Clock& clock;
+  core::Inbox& inbox;
+  core::Executor& links;
+  const net::HostGroup& hosts;
+};
+class Addition {
+ public:
+  virtual ~Addition() = default;
+  virtual core::Executor& executor() = 0;
+  virtual core::Witness* witness() = 0;
+  virtual void open() = 0;         // the loop runs
+  virtual std::size_t busy() = 0;  // executions that a planned end should wait for
+  virtual void close() = 0;  // takes no more, and lets go of what another process may need. Again: nothing
+};
+using Adder = std::function<std::unique_ptr<Addition>(const Parts&)>;
+
 class Node {
  public:
   // Listens and serves from here on. Throws std::system_error where it cannot.
-  Node(core::Config config, core::Clock& clock);
+  Node(core::Config config, core::Clock& clock, const Adder& adder = {});
   ~Node();
 
   int port() const { return port_; }
@@ -63,6 +86,7 @@
   net::HostGroup hosts_;
   net::ServerLinks servers_;
   net::Succession kin_;
+  std::unique_ptr<Addition> addition_;  // may be none
   core::DecisionLoop loop_;
   net::Thread loop_thread_;
   struct Stopper {  // goes before the thread that it stops
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -204,8 +204,10 @@
 }
 
 std::int64_t Store::File::number(const char* sql) {
-  Statement statement(*this, sql);
-  return statement.step() ? statement.number_at(0) : 0;
+  Statement& statement = prepared(sql);
+  const std::int64_t value = statement.step() ? statement.number_at(0) : 0;
+  statement.reset();
+  return value;
 }
 
 void Store::File::put_part(std::int64_t id, const std::string& key, Part which, std::string_view text,
