--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -30,6 +30,7 @@
         "most_open": {"type": "integer", "minimum": 1, "maximum": 1000000},
         "links": {"type": "integer", "minimum": 1, "maximum": 512},
         "lease_ms": {"type": "integer", "minimum": 50, "maximum": 3600000},
+        "early_ms": {"type": "integer", "minimum": 0, "maximum": 60000},
         "ask_every_ms": {"type": "integer", "minimum": 10, "maximum": 60000},
         "keep_hours": {"type": "integer", "minimum": 0, "maximum": 100000},
         "answering_kinds": {"type": "array", "items": {"type": "string"}}
@@ -142,6 +143,7 @@
     take(*jobs, "links", part.links);
     take(*jobs, "lease_ms", part.lease_ms);
     take(*jobs, "ask_every_ms", part.ask_every_ms);
+    take(*jobs, "early_ms", part.early_ms);
     take(*jobs, "keep_hours", part.keep_hours);
     if (const auto* kinds = (*jobs)["answering_kinds"].as_array())
       for (const auto& kind : *kinds) part.answering.push_back(kind.value_or<std::string>(""));
--- a/src/config/operator_file.hpp
+++ b/src/config/operator_file.hpp
@@ -19,6 +19,7 @@
   std::int64_t links = 64;
   std::int64_t lease_ms = 10'000;
   std::int64_t ask_every_ms = 250;
+  std::int64_t early_ms = 250;
   std::int64_t keep_hours = 168;
   std::vector<std::string> answering;  // kinds of workers
 };
--- a/src/front/jobs/front.cpp
+++ b/src/front/jobs/front.cpp
@@ -119,8 +119,7 @@
   if (!std::string_view(call.path).starts_with(kJobs)) return bad(404, "no such resource");
   const std::string name = call.path.substr(kJobs.size());
   const std::string key = name.substr(0, name.find('/'));
-  if (!is_key(key))
-    return bad(400, "a key is 1 to 64 letters, digits and -._~");
+  if (!is_key(key)) return bad(400, "a key is 1 to 64 letters, digits and -._~");
   if (key.size() < name.size())
     return operators_ ? answer_operator(call, key, name.substr(key.size())) : bad(404, "no such resource");
   if (call.method == "GET") {
--- a/src/jobs/installation.cpp
+++ b/src/jobs/installation.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr double kAskMs = 250;
-constexpr int kWatchMs = 20;
+constexpr int kWatchMs = 5;
 // The store's files and its folder, two listeners with their wake-ups, and operators' links.
 constexpr std::size_t kFiles = 8, kOperatorLinks = 4, kListeners = 4;
 
@@ -21,6 +21,7 @@
   settings.store.most_bytes = static_cast<std::uint64_t>(part.most_mb) * 1'000'000;
   settings.lease.lease_ms = static_cast<double>(part.lease_ms);
   settings.lease.ask_every_ms = static_cast<double>(part.ask_every_ms);
+  settings.early_ms = static_cast<double>(part.early_ms);
   settings.keep_ms = static_cast<double>(part.keep_hours) * 3'600'000;
   settings.most_open = static_cast<std::size_t>(part.most_open);
   settings.answering.insert(part.answering.begin(), part.answering.end());
--- a/src/jobs/keeper.cpp
+++ b/src/jobs/keeper.cpp
@@ -26,9 +26,8 @@
 constexpr double kTidyMs = 1'000;
 constexpr std::size_t kTidyRecords = 500;
 constexpr double kReportMs = 10'000;
-// A client is to have its answer before it gives up.
-constexpr double kMarginMs = 50;
-constexpr double kMarginShare = 0.1;
+// A client is to have its answer before it gives up: a tenth of its time, and no more than the setting says.
+constexpr double kEarlyShare = 0.1;
 constexpr std::size_t kHandedIn =
     16;                           // recovered jobs in the loop at once: its limits have to be learned anew
 constexpr double kAgainMs = 200;  // a refused recovered job is handed in again after this, if nothing is said
@@ -479,7 +478,7 @@
   if (bytes_used_ + order.body.size() + held > settings_.store.most_bytes)
     return refuse("the store is full\n");
   const double left = order.query.deadline - clock_.now();
-  const double deadline = now() + left - std::min(kMarginMs, left * kMarginShare);
+  const double deadline = now() + left - std::min(settings_.early_ms, left * kEarlyShare);
   Live& live = live_[call.key];
   live.face = {order.query.class_name, digest, order.target, order.fields, order.query.slots,
                order.query.cost_ms,    0};
--- a/src/jobs/keeper.hpp
+++ b/src/jobs/keeper.hpp
@@ -33,8 +33,9 @@
   store::Options store;
   lease::Settings lease;
   double keep_ms = 7 * 86'400'000.0;  // finished jobs are dropped after this
-  std::size_t most_open = 10'000;     // jobs that have no final state
-  std::set<std::string> answering;    // kinds of workers that can be asked about jobs; "*": all
+  double early_ms = 250;  // a job ends this long before its client gives up: time to ask a new process
+  std::size_t most_open = 10'000;   // jobs that have no final state
+  std::set<std::string> answering;  // kinds of workers that can be asked about jobs; "*": all
 };
 
 // A job as its client hands it in.
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,95 @@
+// woadtide-lab: stand-ins, faults and checks for woadtide, all on loopback.
+#include <poll.h>
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <stdexcept>
+#include <string>
+
+#include "lab/crash.hpp"
+#include "lab/worker.hpp"
+
+namespace {
+
+namespace options = boost::program_options;
+namespace lab = woadtide::lab;
+
+int run_worker(int port, const std::string& ledger, bool answers) {
+  std::signal(SIGPIPE, SIG_IGN);
+  lab::Worker worker(port, ledger, answers, [](const lab::Begun& begun) {
+    // The key decides, so that a run does not hang on which worker it meets.
+    const std::size_t hash = std::hash<std::string>()(begun.key);
+    lab::Plan plan;
+    plan.run_ms = static_cast<double>(2 + hash % 60);
+    plan.heartbeat_ms = hash % 3 == 0 ? 10 : 0;
+    if (hash % 97 == 0) plan.run_ms = 900;  // longer than a lease, without a heartbeat or with some
+    if (hash % 41 == 0) plan.end = lab::Plan::End::failed;
+    if (hash % 43 == 0) plan.end = lab::Plan::End::refuse;
+    return plan;
+  });
+  for (;;) ::poll(nullptr, 0, 1'000);
+}
+
+int run(int argc, char** argv) {
+  std::string command, ledger;
+  lab::CrashSettings crash;
+  int port = 0;
+  bool plain = false, no_faults = false;
+  options::options_description shown("Options");
+  shown.add_options()("help,h", "print this page")("port", options::value(&port), "worker: where it listens")(
+      "ledger", options::value(&ledger), "worker: its books")("answers", "worker: may be asked about jobs")(
+      "dispatcher", options::value(&crash.dispatcher), "crash: the program under test")(
+      "folder", options::value(&crash.folder), "crash: for all files")(
+      "kills", options::value(&crash.kills)->default_value(crash.kills), "crash: how many")(
+      "clients", options::value(&crash.clients)->default_value(crash.clients), "crash: how many at once")(
+      "gap", options::value(&crash.gap_ms)->default_value(crash.gap_ms), "crash: mean ms between two kills")(
+      "seed", options::value(&crash.seed)->default_value(crash.seed), "crash: of all that is drawn")(
+      "plain", options::bool_switch(&plain), "crash: workers cannot be asked")(
+      "no-faults", options::bool_switch(&no_faults), "crash: no ends within the store");
+  options::options_description all(shown);
+  all.add_options()("command", options::value(&command));
+  options::positional_options_description places;
+  places.add("command", 1);
+  options::variables_map values;
+  options::store(options::command_line_parser(argc, argv).options(all).positional(places).run(), values);
+  options::notify(values);
+  if (values.count("help") || command.empty()) {
+    std::cout << "Usage: woadtide-lab COMMAND [options]\n\n"
+                 "  crash    kill the dispatcher and workers at random, and judge the history\n"
+                 "  worker   a stand-in worker\n\n"
+              << shown;
+    return 0;
+  }
+  if (command == "worker") return run_worker(port, ledger, values.count("answers") > 0);
+  if (command != "crash") throw std::runtime_error("unknown command '" + command + "'");
+  if (crash.dispatcher.empty() || crash.folder.empty())
+    throw std::runtime_error("crash wants --dispatcher PROGRAM and --folder FOLDER");
+  if (std::filesystem::exists(crash.folder)) throw std::runtime_error(crash.folder + " is there already");
+  crash.answers = !plain;
+  crash.faults = !no_faults;
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto report = lab::run_crash(crash, std::filesystem::read_symlink("/proc/self/exe").string());
+  const lab::Verdict& verdict = report.verdict;
+  std::cout << verdict.summary() << "\nkills: dispatcher " << report.dispatcher_kills << ", within its store "
+            << report.store_kills << ", worker " << report.worker_kills << ", both " << report.both_kills
+            << "; workers started empty " << report.emptied << "; ends that nobody asked for "
+            << report.crashes << '\n';
+  for (const std::string& line : verdict.lines) std::cout << "  " << line << '\n';
+  if (verdict.good() && report.crashes == 0) return 0;
+  std::cout << "replay: woadtide-lab crash --seed " << crash.seed << " --kills " << crash.kills
+            << "; files in " << crash.folder << '\n';
+  return 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& wrong) {
+    std::cerr << "woadtide-lab: " << wrong.what() << std::endl;
+    return 2;
+  }
+}
