--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -19,6 +19,7 @@
 constexpr int kApplication = 0x574f4144, kVersion = 1;  // "WOAD"
 constexpr int kPageBytes = 4096;
 constexpr std::size_t kWorthPacking = 512;
+constexpr std::size_t kMostInRow = 2'000;
 enum Part { kBody = 0, kResult = 1 };
 enum Form { kPlain = 0, kPacked = 1 };
 
@@ -76,8 +77,14 @@
   [[noreturn]] void damaged(const std::string& key) {
     throw Failed(Trouble::damaged, "store: damaged: " + path_ + ": the checksum of '" + key + "' is wrong");
   }
-  std::optional<std::string> part(const std::string& key, Part which);
-  void put_part(std::int64_t id, const std::string& key, Part which, std::string_view text, Form form);
+  std::optional<std::string> part(std::int64_t id, const std::string& key);
+  void put_part(std::int64_t id, const std::string& key, std::string_view text, Form form);
+  void put_open(const Record& record);
+  void put_over(const Record& record);
+  std::optional<std::int64_t> id_of(const std::string& key);  // in `job`
+  std::optional<std::string> open_body(std::int64_t id, const std::string& key);
+
+  std::map<std::string, std::int64_t> open_ids;  // in `open_job`, by key
   // Prepared once. `sql` must be a literal.
   Statement& prepared(const char* sql);
   sqlite3* db() const { return db_; }
@@ -114,6 +121,10 @@
     sqlite3_bind_double(handle_, at, value);
     return *this;
   }
+  Statement& nothing(int at) {
+    sqlite3_bind_null(handle_, at);
+    return *this;
+  }
   // Whether there is a row.
   bool step() {
     const int code = sqlite3_step(handle_);
@@ -179,16 +190,20 @@
     run(("PRAGMA max_page_count=" + std::to_string(options.most_bytes / kPageBytes + 64)).c_str());
     // Takes the lock for as long as the file is open.
     run("BEGIN IMMEDIATE");
-    run("CREATE TABLE IF NOT EXISTS job(id INTEGER PRIMARY KEY, key BLOB NOT NULL UNIQUE, open INTEGER NOT "
+    // An open job is one row behind the last one, so that a take changes one page; what is closed moves to a
+    // table with its indexes.
+    run("CREATE TABLE IF NOT EXISTS open_job(id INTEGER PRIMARY KEY, key BLOB NOT NULL, changed REAL NOT "
         "NULL,"
+        " meta BLOB NOT NULL, sum INTEGER NOT NULL, body BLOB, body_sum INTEGER)");
+    run("CREATE TABLE IF NOT EXISTS job(id INTEGER PRIMARY KEY, key BLOB NOT NULL UNIQUE, standing INTEGER "
+        "NOT NULL,"
         " changed REAL NOT NULL, packed INTEGER NOT NULL DEFAULT 0, meta BLOB NOT NULL, sum INTEGER NOT "
         "NULL)");
     run("CREATE TABLE IF NOT EXISTS part(id INTEGER PRIMARY KEY, form INTEGER NOT NULL, data BLOB NOT NULL,"
         " sum INTEGER NOT NULL)");
-    run("CREATE INDEX IF NOT EXISTS job_open ON job(id) WHERE open=1");
-    run("CREATE INDEX IF NOT EXISTS job_kept ON job(id) WHERE open=2");
-    run("CREATE INDEX IF NOT EXISTS job_closed ON job(changed) WHERE open=0");
-    run("CREATE INDEX IF NOT EXISTS job_plain ON job(id) WHERE open=0 AND packed=0");
+    run("CREATE INDEX IF NOT EXISTS job_kept ON job(id) WHERE standing=2");
+    run("CREATE INDEX IF NOT EXISTS job_closed ON job(changed) WHERE standing=0");
+    run("CREATE INDEX IF NOT EXISTS job_plain ON job(id) WHERE standing=0 AND packed=0");
     if (version < kVersion) {
       run(("PRAGMA application_id=" + std::to_string(kApplication)).c_str());
       run(("PRAGMA user_version=" + std::to_string(kVersion)).c_str());
@@ -196,6 +211,8 @@
     run("COMMIT");
     // What a failed sync left in the log is written and synced anew before anything rests on it.
     run("PRAGMA wal_checkpoint(TRUNCATE)");
+    Statement keys(*this, "SELECT id,key FROM open_job");
+    while (keys.step()) open_ids.emplace(keys.text_at(1), keys.number_at(0));
   } catch (...) {
     prepared_.clear();
     sqlite3_close_v2(std::exchange(db_, nullptr));
@@ -210,16 +227,14 @@
   return value;
 }
 
-void Store::File::put_part(std::int64_t id, const std::string& key, Part which, std::string_view text,
-                           Form form) {
+void Store::File::put_part(std::int64_t id, const std::string& key, std::string_view text, Form form) {
   Statement& put = prepared("INSERT OR REPLACE INTO part VALUES(?,?,?,?)");
-  put.number(1, id * 2 + which).number(2, form).text(3, text).number(4, sum_of(key, text)).once();
+  put.number(1, id).number(2, form).text(3, text).number(4, sum_of(key, text)).once();
 }
 
-std::optional<std::string> Store::File::part(const std::string& key, Part which) {
-  Statement& look =
-      prepared("SELECT form, data, sum FROM part WHERE id=(SELECT id*2+? FROM job WHERE key=?)");
-  if (!look.number(1, which).text(2, key).step()) return std::nullopt;
+std::optional<std::string> Store::File::part(std::int64_t id, const std::string& key) {
+  Statement& look = prepared("SELECT form, data, sum FROM part WHERE id=?");
+  if (!look.number(1, id).step()) return std::nullopt;
   std::string data = look.text_at(1);
   const std::int64_t sum = look.number_at(2), form = look.number_at(0);
   look.reset();
@@ -232,32 +247,91 @@
   return plain;
 }
 
+std::optional<std::int64_t> Store::File::id_of(const std::string& key) {
+  Statement& look = prepared("SELECT id FROM job WHERE key=?");
+  if (!look.text(1, key).step()) return std::nullopt;
+  const std::int64_t id = look.number_at(0);
+  look.reset();
+  return id;
+}
+
+// A small body lies in its row, a large one apart: a change of the row does not write it again.
+void Store::File::put_open(const Record& record) {
+  const bool apart = record.body && record.body->size() > kMostInRow;
+  const std::int64_t sum = sum_of(record.key, record.meta);
+  auto found = open_ids.find(record.key);
+  if (found == open_ids.end()) {
+    // One key, one record: what was closed and is taken on again leaves its old place.
+    if (const auto id = id_of(record.key)) {
+      prepared("DELETE FROM part WHERE id IN (?1*2,?1*2+1)").number(1, *id).once();
+      prepared("DELETE FROM job WHERE id=?").number(1, *id).once();
+    }
+    Statement& put = prepared("INSERT INTO open_job(key,changed,meta,sum,body,body_sum) VALUES(?,?,?,?,?,?)");
+    put.text(1, record.key).real(2, record.changed).text(3, record.meta).number(4, sum);
+    if (record.body && !apart)
+      put.text(5, *record.body).number(6, sum_of(record.key, *record.body));
+    else
+      put.nothing(5).nothing(6);
+    put.once();
+    found = open_ids.emplace(record.key, sqlite3_last_insert_rowid(db_)).first;
+  } else {
+    Statement& put = prepared("UPDATE open_job SET changed=?,meta=?,sum=? WHERE id=?");
+    put.real(1, record.changed).text(2, record.meta).number(3, sum).number(4, found->second).once();
+    if (record.body && !apart) {
+      Statement& body = prepared("UPDATE open_job SET body=?,body_sum=? WHERE id=?");
+      body.text(1, *record.body).number(2, sum_of(record.key, *record.body)).number(3, found->second).once();
+    }
+  }
+  if (apart) put_part(-found->second, record.key, *record.body, kPlain);
+}
+
+std::optional<std::string> Store::File::open_body(std::int64_t id, const std::string& key) {
+  Statement& look = prepared("SELECT body,body_sum FROM open_job WHERE id=? AND body IS NOT NULL");
+  if (!look.number(1, id).step()) return part(-id, key);
+  std::string body = look.text_at(0);
+  const std::int64_t sum = look.number_at(1);
+  look.reset();
+  if (sum != sum_of(key, body)) damaged(key);
+  return body;
+}
+
+// Closed or kept; where it was open it moves here.
+void Store::File::put_over(const Record& record) {
+  std::optional<std::string> body = record.body;
+  if (const auto found = open_ids.find(record.key); found != open_ids.end()) {
+    if (!body) body = open_body(found->second, record.key);
+    prepared("DELETE FROM open_job WHERE id=?").number(1, found->second).once();
+    prepared("DELETE FROM part WHERE id=?").number(1, -found->second).once();
+    open_ids.erase(found);
+  }
+  auto id = id_of(record.key);
+  Statement& put = id ? prepared("UPDATE job SET standing=?2,changed=?3,packed=0,meta=?4,sum=?5 WHERE key=?1")
+                      : prepared("INSERT INTO job(key,standing,changed,meta,sum) VALUES(?1,?2,?3,?4,?5)");
+  put.text(1, record.key).number(2, static_cast<int>(record.standing)).real(3, record.changed);
+  put.text(4, record.meta).number(5, sum_of(record.key, record.meta)).once();
+  if (!id) id = sqlite3_last_insert_rowid(db_);
+  if (body) put_part(*id * 2 + kBody, record.key, *body, kPlain);
+  if (record.result) put_part(*id * 2 + kResult, record.key, *record.result, kPlain);
+}
+
 Store::Store(Options options) : file_(std::make_unique<File>(std::move(options))) {}
 Store::~Store() = default;
 Store::Store(Store&&) noexcept = default;
 
 void Store::append(const std::vector<Record>& records) {
   if (records.empty()) return;
-  file_->run("BEGIN");
-  Statement put(
-      *file_,
-      "INSERT INTO job(key,open,changed,meta,sum) VALUES(?1,?2,?3,?4,?5) ON CONFLICT(key) DO UPDATE SET "
-      "open=?2,changed=?3,packed=0,meta=?4,sum=?5 RETURNING id");
+  file_->prepared("BEGIN").once();
   for (const Record& record : records) {
-    put.text(1, record.key)
-        .number(2, static_cast<int>(record.standing))
-        .real(3, record.changed)
-        .text(4, record.meta);
-    put.number(5, sum_of(record.key, record.meta)).step();
-    const std::int64_t id = put.number_at(0);
-    put.reset();
-    if (record.body) file_->put_part(id, record.key, kBody, *record.body, kPlain);
-    if (record.result) file_->put_part(id, record.key, kResult, *record.result, kPlain);
+    if (record.standing == Standing::open)
+      file_->put_open(record);
+    else
+      file_->put_over(record);
   }
   file_->prepared("COMMIT").once();
 }
 
 namespace {
+// Columns: key, standing, changed, meta, sum.
 Record read_row(Statement& row, Store::File& file) {
   Record record;
   record.key = row.text_at(0);
@@ -270,22 +344,37 @@
 }  // namespace
 
 std::optional<Record> Store::find(const std::string& key) {
-  Statement& look = file_->prepared("SELECT key,open,changed,meta,sum FROM job WHERE key=?");
-  if (!look.text(1, key).step()) return std::nullopt;
+  const auto open = file_->open_ids.find(key);
+  Statement& look = open != file_->open_ids.end()
+                        ? file_->prepared("SELECT key,1,changed,meta,sum FROM open_job WHERE id=?")
+                        : file_->prepared("SELECT key,standing,changed,meta,sum FROM job WHERE key=?");
+  if (open != file_->open_ids.end())
+    look.number(1, open->second);
+  else
+    look.text(1, key);
+  if (!look.step()) return std::nullopt;
   Record record = read_row(look, *file_);
   look.reset();
   return record;
 }
 
-std::optional<std::string> Store::body(const std::string& key) { return file_->part(key, kBody); }
-std::optional<std::string> Store::result(const std::string& key) { return file_->part(key, kResult); }
+std::optional<std::string> Store::body(const std::string& key) {
+  if (const auto open = file_->open_ids.find(key); open != file_->open_ids.end())
+    return file_->open_body(open->second, key);
+  const auto id = file_->id_of(key);
+  return id ? file_->part(*id * 2 + kBody, key) : std::nullopt;
+}
+
+std::optional<std::string> Store::result(const std::string& key) {
+  const auto id = file_->open_ids.contains(key) ? std::nullopt : file_->id_of(key);
+  return id ? file_->part(*id * 2 + kResult, key) : std::nullopt;
+}
 
 void Store::read(Standing standing, const std::function<bool(Record)>& take) {
-  const auto* sql = standing == Standing::open
-                        ? "SELECT key,open,changed,meta,sum FROM job WHERE open=1 ORDER BY id"
+  const char* sql = standing == Standing::open ? "SELECT key,1,changed,meta,sum FROM open_job ORDER BY id"
                     : standing == Standing::kept
-                        ? "SELECT key,open,changed,meta,sum FROM job WHERE open=2 ORDER BY id"
-                        : "SELECT key,open,changed,meta,sum FROM job WHERE open=0 ORDER BY changed DESC";
+                        ? "SELECT key,2,changed,meta,sum FROM job WHERE standing=2 ORDER BY id"
+                        : "SELECT key,0,changed,meta,sum FROM job WHERE standing=0 ORDER BY changed DESC";
   Statement rows(*file_, sql);
   while (rows.step() && take(read_row(rows, *file_))) {
   }
@@ -294,8 +383,8 @@
 double Store::newest() {
   double newest = 0;
   for (const char* sql :
-       {"SELECT max(changed) FROM job WHERE open=0", "SELECT max(changed) FROM job WHERE open=1",
-        "SELECT max(changed) FROM job WHERE open=2"}) {
+       {"SELECT max(changed) FROM job WHERE standing=0", "SELECT max(changed) FROM open_job",
+        "SELECT max(changed) FROM job WHERE standing=2"}) {
     Statement look(*file_, sql);
     if (look.step()) newest = std::max(newest, look.real_at(0));
   }
@@ -313,8 +402,8 @@
     while (look.step()) found.emplace_back(look.number_at(0), look.text_at(1));
     return found;
   };
-  old = rows("SELECT id,key FROM job WHERE open=0 AND changed<?2 ORDER BY changed LIMIT ?1", true);
-  plain = rows("SELECT id,key FROM job WHERE open=0 AND packed=0 LIMIT ?1", false);
+  old = rows("SELECT id,key FROM job WHERE standing=0 AND changed<?2 ORDER BY changed LIMIT ?1", true);
+  plain = rows("SELECT id,key FROM job WHERE standing=0 AND packed=0 LIMIT ?1", false);
   if (old.empty() && plain.empty()) return done;
   file_->run("BEGIN");
   Statement drop_parts(*file_, "DELETE FROM part WHERE id IN (?1*2,?1*2+1)"),
@@ -326,10 +415,10 @@
   }
   for (const auto& [id, key] : plain) {
     for (const Part which : {kBody, kResult}) {
-      const auto text = file_->part(key, which);  // nothing, where it was dropped just now
+      const auto text = file_->part(id * 2 + which, key);  // nothing, where it was dropped just now
       if (!text || text->size() < kWorthPacking) continue;
       const std::string small = packed(*text);
-      if (!small.empty() && small.size() < text->size()) file_->put_part(id, key, which, small, kPacked);
+      if (!small.empty() && small.size() < text->size()) file_->put_part(id * 2 + which, key, small, kPacked);
     }
     mark.number(1, id).once();
     done.packed += 1;
@@ -350,11 +439,13 @@
       throw Failed(Trouble::damaged, "store: damaged: " + file_->path() + ": " + whole.text_at(0));
   }
   std::size_t count = 0;
-  Statement rows(*file_, "SELECT key,open,changed,meta,sum FROM job");
-  for (; rows.step(); ++count) {
-    const Record record = read_row(rows, *file_);
-    for (const Part which : {kBody, kResult}) file_->part(record.key, which);
-  }
+  const auto look_at = [&](const Record& record) {
+    body(record.key);
+    result(record.key);
+    count += 1;
+    return true;
+  };
+  for (const auto standing : {Standing::open, Standing::kept, Standing::closed}) read(standing, look_at);
   return count;
 }
 
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -56,7 +56,7 @@
   std::optional<Record> find(const std::string& key);  // without body and result
   std::optional<std::string> body(const std::string& key);
   std::optional<std::string> result(const std::string& key);
-  // Closed ones with the newest change first, the others in the order of their first record. Ends when `take`
+  // Closed ones with the newest change first, the others as they came. Ends when `take`
   // returns false.
   void read(Standing standing, const std::function<bool(Record)>& take);
   // The newest `changed` of all records, 0 where there are none.
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -198,7 +198,9 @@
   CHECK_FALSE(store.result("k149"));
   CHECK(store.check() == 50);
   int open = 0;
-  store.append({record("o", "m")});
+  store.append({record("o", "m", false)});
+  store.append({record("o", "m")});  // taken on again: one record
+  CHECK(store.check() == 51);
   store.read(Standing::open, [&](const Record& one) { return open += one.key == "o" ? 1 : 100, true; });
   CHECK(open == 1);
 }
