--- a/src/lab/crash.cpp
+++ b/src/lab/crash.cpp
@@ -28,6 +28,8 @@
 using nlohmann::json;
 
 constexpr int kStepMs = 10;
+constexpr const char* kHang = ":8";  // ms that the disk hangs before an end, and at each sync
+
 constexpr double kWorkerDownMs = 80;
 constexpr int kMostOperation = 80, kMostPoints = 200;
 
@@ -90,8 +92,8 @@
     bring("first", false);  // the store's own start is not the matter here
     for (int nth = 1; report.runs < kMostPoints; ++nth) {
       dispatcher_.end();
-      start_dispatcher(
-          {{"WOADTIDE_FAULT", kind + ':' + std::to_string(nth)}, {"WOADTIDE_FAULT_COUNT", count_path()}});
+      start_dispatcher({{"WOADTIDE_FAULT", kind + ':' + std::to_string(nth) + kHang},
+                        {"WOADTIDE_FAULT_COUNT", count_path()}});
       bool died = false;
       std::atomic<bool> over = false;
       std::thread caretaker([&] {
@@ -170,7 +172,7 @@
   void start_dispatcher(std::map<std::string, std::string> environment = {}) {
     // Some of its lives end within the store.
     if (settings_.faults && !calm_ && dice(2) == 0)
-      environment["WOADTIDE_FAULT"] = "kill:" + std::to_string(1 + dice(kMostOperation));
+      environment["WOADTIDE_FAULT"] = "kill:" + std::to_string(1 + dice(kMostOperation)) + kHang;
     dispatcher_ = Process({settings_.dispatcher, "serve", "--config", settings_.folder + "/config.json",
                            "--operator", settings_.folder + "/operator.toml"},
                           environment, settings_.folder + "/dispatcher.log");
--- a/src/lab/fault_vfs.cpp
+++ b/src/lab/fault_vfs.cpp
@@ -31,6 +31,12 @@
   return reinterpret_cast<sqlite3_file*>(reinterpret_cast<File*>(file) + 1);
 }
 
+// A disk that hangs, and then the end: what was let out too early has the time to arrive.
+void die() {
+  std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(delay.load()));
+  std::raise(SIGKILL);
+}
+
 enum class Verdict { pass, half, refuse, no_room };
 
 Verdict next() {
@@ -39,7 +45,7 @@
     case Fault::none:
       return Verdict::pass;
     case Fault::kill:
-      if (now == nth) std::raise(SIGKILL);
+      if (now == nth) die();
       return Verdict::pass;
     case Fault::torn:
       return now == nth ? Verdict::half : Verdict::pass;
@@ -66,7 +72,7 @@
       return write(size);
     case Verdict::half:
       write(size / 2);
-      if (fault == Fault::torn) std::raise(SIGKILL);
+      if (fault == Fault::torn) die();
       return SQLITE_IOERR_WRITE;
     case Verdict::refuse:
       return SQLITE_IOERR_WRITE;
@@ -77,13 +83,13 @@
 }
 int truncate_file(sqlite3_file* file, sqlite3_int64 size) {
   const Verdict verdict = next();
-  if (verdict == Verdict::half && fault == Fault::torn) std::raise(SIGKILL);
+  if (verdict == Verdict::half && fault == Fault::torn) die();
   return verdict == Verdict::pass ? inner(file)->pMethods->xTruncate(inner(file), size)
                                   : SQLITE_IOERR_TRUNCATE;
 }
 int sync_file(sqlite3_file* file, int flags) {
   const Verdict verdict = next();
-  if (verdict == Verdict::half && fault == Fault::torn) std::raise(SIGKILL);
+  if (verdict == Verdict::half && fault == Fault::torn) die();
   if (verdict != Verdict::pass) return SQLITE_IOERR_FSYNC;
   const double ms = delay;
   if (ms > 0) std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(ms));
--- a/src/lab/fault_vfs.hpp
+++ b/src/lab/fault_vfs.hpp
@@ -19,7 +19,8 @@
 
 // Becomes SQLite's default VFS; once for a process.
 void install_fault_vfs();
-// From here on, with the count at 0. `delay_ms` is added to each sync, for a slow disk.
+// From here on, with the count at 0. `delay_ms` is added to each sync, for a slow disk, and
+// before a kill.
 void set_fault(Fault fault, int nth, double delay_ms = 0);
 // Operations counted since set_fault().
 int fault_operations();
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -393,17 +393,15 @@
 
 Store::Compacted Store::compact(double older_than, std::size_t most) {
   Compacted done;
-  std::vector<std::pair<std::int64_t, std::string>> old, plain;
-  const auto rows = [&](const char* sql, bool by_time) {
+  const auto rows = [&](const char* sql) {
     std::vector<std::pair<std::int64_t, std::string>> found;
     Statement look(*file_, sql);
-    if (by_time) look.real(2, older_than);
-    look.number(1, static_cast<std::int64_t>(most));
+    look.number(1, static_cast<std::int64_t>(most)).real(2, older_than);
     while (look.step()) found.emplace_back(look.number_at(0), look.text_at(1));
     return found;
   };
-  old = rows("SELECT id,key FROM job WHERE standing=0 AND changed<?2 ORDER BY changed LIMIT ?1", true);
-  plain = rows("SELECT id,key FROM job WHERE standing=0 AND packed=0 LIMIT ?1", false);
+  const auto old = rows("SELECT id,key FROM job WHERE standing=0 AND changed<?2 ORDER BY changed LIMIT ?1");
+  const auto plain = rows("SELECT id,key FROM job WHERE standing=0 AND packed=0 AND changed>=?2 LIMIT ?1");
   if (old.empty() && plain.empty()) return done;
   file_->run("BEGIN");
   Statement drop_parts(*file_, "DELETE FROM part WHERE id IN (?1*2,?1*2+1)"),
@@ -415,7 +413,7 @@
   }
   for (const auto& [id, key] : plain) {
     for (const Part which : {kBody, kResult}) {
-      const auto text = file_->part(id * 2 + which, key);  // nothing, where it was dropped just now
+      const auto text = file_->part(id * 2 + which, key);
       if (!text || text->size() < kWorthPacking) continue;
       const std::string small = packed(*text);
       if (!small.empty() && small.size() < text->size()) file_->put_part(id * 2 + which, key, small, kPacked);
