--- a/src/jobs/keeper.cpp
+++ b/src/jobs/keeper.cpp
@@ -282,7 +282,9 @@
   });
   for (auto& [key, live] : before) {
     retract(live);
-    if (live.out) next_.cancel(*live.out);
+    if (!live.out) continue;
+    next_.cancel(*live.out);
+    out_count_ -= 1;
   }
   std::erase_if(keys_, [this](const auto& item) {
     const auto live = live_.find(item.second);
@@ -671,6 +673,7 @@
   execution.parcel.fields = leased->second;
   execution.parcel.hold = leased;
   next_.start(std::move(execution));
+  live.content.reset();  // the disk has it: open jobs must not fill the memory with bodies
   if (!live.acknowledged) counts_.taken += 1;
   live.acknowledged = true;
   for (auto& putter : live.putters) putter.set_value({202, "leased", {}, 0});
