Test the clock, commands, log and checker of durable jobs; judge from the written files

The story of a clock that was set back could not fail: its job had ended before. It now holds a job that cannot go out, and asks that its time runs out when it should. New stories: a file that is no store, list, show, settle and check as an operator runs them, JSON lines and a log that nobody reads, and the checker on each planted fault. The crash command now judges the files that it wrote, as woadtide-lab check does again later; its config is in one place.

--- a/bench/jobs_bench.cpp
+++ b/bench/jobs_bench.cpp
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "jobs/installation.hpp"
+#include "lab/config_json.hpp"
 #include "lab/discovery.hpp"
 #include "lab/fault_vfs.hpp"
 #include "lab/job_client.hpp"
@@ -55,28 +56,7 @@
 }
 
 json config_of(lab::Discovery& discovery, int port) {
-  const json limits = {
-      {"TryLimit", 5}, {"RetryAfter", true}, {"MaxRetryAfterUs", 2'000}, {"DialTimeoutUs", 250'000}};
-  const json classes = {{{"Name", "receipt-check"},
-                         {"Effect", "idempotent"},
-                         {"DeadlineUs", 8'000'000},
-                         {"PromiseUs", 400'000}},
-                        {{"Name", "refund-payout"},
-                         {"Effect", "at_most_once"},
-                         {"DeadlineUs", 5'000'000},
-                         {"PromiseUs", 400'000}}};
-  return {{"name", "bench"},
-          {"listen", "127.0.0.1:" + std::to_string(port)},
-          {"discovery", discovery.dial()},
-          {"seed", "8c1f30d27a5be964"},
-          {"limits", {{"sockets", 1'024}}},
-          {"known", json::parse(discovery.list())},
-          {"settings",
-           {{"MyZone", "a"},
-            {"Discovery", "on_request"},
-            {"Invariants", {{"MustAskInUs", 10'000'000}}},
-            {"PolicyLimits", limits},
-            {"Categories", classes}}}};
+  return lab::config_json(discovery.list(), discovery.dial(), port, 1'024, 2'000);
 }
 
 // A dispatcher of this process, with its workers.
--- a/src/lab/crash.cpp
+++ b/src/lab/crash.cpp
@@ -12,10 +12,10 @@
 #include <fstream>
 #include <list>
 #include <mutex>
-#include <nlohmann/json.hpp>
 #include <pcg_random.hpp>
 #include <thread>
 
+#include "lab/config_json.hpp"
 #include "lab/discovery.hpp"
 #include "lab/job_client.hpp"
 #include "lab/process.hpp"
@@ -25,7 +25,6 @@
 namespace {
 
 namespace fs = std::filesystem;
-using nlohmann::json;
 
 constexpr int kStepMs = 10;
 constexpr const char* kHang = ":8";  // ms that the disk hangs before an end, and at each sync
@@ -139,30 +138,9 @@
   int dice(int most) { return boost::random::uniform_int_distribution<int>(0, most - 1)(random_); }
 
   void write_files() {
-    const std::string all = std::to_string(ports_[0]), jobs = std::to_string(ports_[1]);
-    const json limits = {
-        {"TryLimit", 5}, {"RetryAfter", true}, {"MaxRetryAfterUs", 500'000}, {"DialTimeoutUs", 250'000}};
-    const json classes = {{{"Name", "receipt-check"},
-                           {"Effect", "idempotent"},
-                           {"DeadlineUs", 8'000'000},
-                           {"PromiseUs", 400'000}},
-                          {{"Name", "refund-payout"},
-                           {"Effect", "at_most_once"},
-                           {"DeadlineUs", 5'000'000},
-                           {"PromiseUs", 400'000}}};
-    const json config = {{"name", "n0"},
-                         {"listen", "127.0.0.1:" + all},
-                         {"discovery", discovery_.dial()},
-                         {"seed", "8c1f30d27a5be964"},
-                         {"limits", {{"sockets", 256}}},
-                         {"known", json::parse(discovery_.list())},
-                         {"settings",
-                          {{"MyZone", "a"},
-                           {"Discovery", "on_request"},
-                           {"Invariants", {{"MustAskInUs", 10'000'000}}},
-                           {"PolicyLimits", limits},
-                           {"Categories", classes}}}};
-    std::ofstream(settings_.folder + "/config.json") << config.dump(2) << '\n';
+    const std::string jobs = std::to_string(ports_[1]);
+    std::ofstream(settings_.folder + "/config.json")
+        << config_json(discovery_.list(), discovery_.dial(), ports_[0]).dump(2) << '\n';
     std::ofstream(settings_.folder + "/operator.toml")
         << "[jobs]\nenabled = true\nlisten = \"127.0.0.1:" << jobs << "\"\nfolder = \"" << settings_.folder
         << "/store\"\nlease_ms = 600\nask_every_ms = 30\nanswering_kinds = ["
@@ -251,13 +229,11 @@
     }
   }
   void judge_all() {
-    std::vector<Entry> entries;
-    for (const auto& file : fs::directory_iterator(settings_.folder))
-      if (file.path().extension() == ".ledger")
-        for (Entry& entry : Ledger::read(file.path().string())) entries.push_back(std::move(entry));
-    std::ofstream history(settings_.folder + "/history.jsonl");
-    for (const Seen& one : seen_) history << line_of(one) << '\n';
-    report_.verdict = judge(seen_, entries);
+    {
+      std::ofstream history(history_of(settings_.folder));
+      for (const Seen& one : seen_) history << line_of(one) << '\n';
+    }
+    report_.verdict = judge_folder(settings_.folder);
   }
 
   const CrashSettings settings_;
--- a/src/lab/history.cpp
+++ b/src/lab/history.cpp
@@ -1,5 +1,6 @@
 #include "lab/history.hpp"
 
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -103,4 +104,14 @@
   return all;
 }
 
+std::string history_of(const std::string& folder) { return folder + "/history.jsonl"; }
+
+Verdict judge_folder(const std::string& folder) {
+  std::vector<Entry> entries;
+  for (const auto& file : std::filesystem::directory_iterator(folder))
+    if (file.path().extension() == ".ledger")
+      for (Entry& entry : Ledger::read(file.path().string())) entries.push_back(std::move(entry));
+  return judge(read_history(history_of(folder)), entries);
+}
+
 }  // namespace woadtide::lab
--- a/src/lab/history.hpp
+++ b/src/lab/history.hpp
@@ -34,5 +34,8 @@
 // As a file, a JSON object a line.
 std::string line_of(const Seen& seen);
 std::vector<Seen> read_history(const std::string& path);
+std::string history_of(const std::string& folder);
+// The history and the ledgers that a run left in its folder.
+Verdict judge_folder(const std::string& folder);
 
 }  // namespace woadtide::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -41,7 +41,7 @@
   shown.add_options()("help,h", "print this page")("port", options::value(&port), "worker: where it listens")(
       "ledger", options::value(&ledger), "worker: its books")("answers", "worker: may be asked about jobs")(
       "dispatcher", options::value(&crash.dispatcher), "crash: the program under test")(
-      "folder", options::value(&crash.folder), "crash: for all files")(
+      "folder", options::value(&crash.folder), "crash, points, check: for all files")(
       "kills", options::value(&crash.kills)->default_value(crash.kills), "crash: how many")(
       "clients", options::value(&crash.clients)->default_value(crash.clients), "crash: how many at once")(
       "gap", options::value(&crash.gap_ms)->default_value(crash.gap_ms), "crash: mean ms between two kills")(
@@ -59,12 +59,19 @@
   if (values.count("help") || command.empty()) {
     std::cout << "Usage: woadtide-lab COMMAND [options]\n\n"
                  "  crash    kill the dispatcher and workers at random, and judge the history\n"
+                 "  check    judge the history and the ledgers that a run left in its folder\n"
                  "  points   one fault at every operation of the dispatcher's store in turn\n"
                  "  worker   a stand-in worker\n\n"
               << shown;
     return 0;
   }
   if (command == "worker") return run_worker(port, ledger, values.count("answers") > 0);
+  if (command == "check") {
+    const lab::Verdict verdict = lab::judge_folder(crash.folder);
+    std::cout << verdict.summary() << '\n';
+    for (const std::string& line : verdict.lines) std::cout << "  " << line << '\n';
+    return verdict.good() ? 0 : 1;
+  }
   if (command != "crash" && command != "points")
     throw std::runtime_error("unknown command '" + command + "'");
   if (crash.dispatcher.empty() || crash.folder.empty())
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -1,17 +1,24 @@
 // Durable jobs end to end, in one process: a node with its store, a stand-in worker and discovery, over
 // loopback.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <fcntl.h>
 #include <stdlib.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <thread>
 
+#include "cli/jobs_commands.hpp"
 #include "config/operator_file.hpp"
 #include "jobs/installation.hpp"
 #include "lab/discovery.hpp"
 #include "lab/fault_vfs.hpp"
+#include "lab/history.hpp"
 #include "lab/worker.hpp"
+#include "log/structured.hpp"
 #include "node_harness.hpp"
 
 namespace woadtide {
@@ -356,24 +363,155 @@
   }
 }
 
-TEST_CASE("the clock set back or forward between two starts") {
-  Bench bench([](const Begun&) { return Plan{5}; });
+// Without the store's newest stamp as the present, a job of yesterday's future would have all of a day to go
+// out again.
+TEST_CASE("the clock set back or forward between two starts: a job has no more time than it had") {
+  Bench bench([](const Begun&) { return Plan{200}; });
   bench.clock.set(kNow);
   {
     Dispatcher dispatcher(bench);
-    CHECK(has(dispatcher.put("k"), " 202 "));
-    CHECK(has(dispatcher.get("k"), " 200 "));
-    CHECK(has(dispatcher.put("late", "refund-payout", "pay"), " 202 "));
+    CHECK(has(dispatcher.put("safe", "receipt-check"), " 202 "));
   }
-  for (const double jump : {-86'400'000.0, 3'600'000.0}) {
-    CAPTURE(jump);
-    bench.clock.set(kNow + jump);
+  bench.discovery.set("w", bench.worker->dial(), "Terminating");
+  const auto end_of = [](Dispatcher& dispatcher) {
+    std::string end;
+    for (int i = 0; i < 100 && !has(end, " 503 "); ++i) {
+      end = dispatcher.get("safe", 0);
+      ::usleep(10'000);
+    }
+    return end;
+  };
+  SUBCASE("back") {
+    bench.clock.set(kNow - 86'400'000);
     Dispatcher dispatcher(bench);
-    CHECK(has(dispatcher.get("k"), " 200 "));
-    CHECK(has(dispatcher.put("k" + std::to_string(jump < 0)), " 202 "));
-    CHECK(has(dispatcher.get("k" + std::to_string(jump < 0)), " 200 "));
+    CHECK(has(dispatcher.get("safe", 0), "X-Job-State: taken\r\n"));
+    bench.clock.set(kNow - 86'400'000 + 3'100);
+    CHECK(has(end_of(dispatcher), "X-Job-State: refused\r\n"));
+  }
+  SUBCASE("forward") {
+    bench.clock.set(kNow + 3'600'000);
+    Dispatcher dispatcher(bench);
+    CHECK(has(end_of(dispatcher), "X-Job-State: refused\r\n"));
   }
-  CHECK(bench.worker->executions() >= 4);
+  CHECK(bench.worker->executions() == 1);
+}
+
+TEST_CASE("a file that is no store: jobs are not served, plain HTTP is, the file stays as it was") {
+  Bench bench;
+  std::filesystem::create_directories(bench.part.folder);
+  const std::string path = bench.part.folder + "/jobs.db", text(5'000, 'x');
+  std::ofstream(path) << text;
+  Dispatcher dispatcher(bench, false);
+  Peer plain = Peer::to(dispatcher.node->port());
+  plain.write(query_text("q1", "receipt-check"));
+  CHECK(has(plain.message(), " 200 "));
+  ::usleep(400'000);
+  CHECK(dispatcher.installation->port() == 0);
+  std::ifstream file(path);
+  CHECK(std::string(std::istreambuf_iterator<char>(file), {}) == text);
+}
+
+// Runs `work` with one standard stream in a file, and returns what came there.
+std::string said_on(int stream, const std::string& folder, const std::function<void()>& work) {
+  const std::string path = folder + "/said";
+  std::cout.flush();
+  const net::Fd kept(::dup(stream)), file(::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC, 0600));
+  ::dup2(file.get(), stream);
+  work();
+  std::cout.flush();
+  ::dup2(kept.get(), stream);
+  std::ifstream read(path);
+  return {std::istreambuf_iterator<char>(read), {}};
+}
+
+TEST_CASE(
+    "the commands list, show and settle jobs of a running process, and check the store of one that ended") {
+  Bench bench([](const Begun&) { return Plan{10, 0, Plan::End::cut}; });
+  std::optional<Dispatcher> dispatcher;
+  dispatcher.emplace(bench);
+  CHECK(has(dispatcher->put("k"), " 202 "));
+  CHECK(has(dispatcher->get("k"), "in-doubt"));
+  config::JobsPart part = bench.part;
+  part.operators = "127.0.0.1:" + std::to_string(dispatcher->installation->operators_port());
+  const auto run = [&](const cli::Words& words) {
+    int code = -1;
+    const std::string said = said_on(1, bench.folder.path, [&] { code = cli::jobs_command(words, part); });
+    return std::to_string(code) + ' ' + said;
+  };
+  const cli::Words list{{"list"}, "in-doubt", {}, {}, {}};
+  const cli::Words settle{{"settle", "k"}, {}, "failed", "ann", "not in the books"};
+  CHECK(run(list).starts_with("0 in-doubt\tk\trefund-payout\tepoch 1"));
+  CHECK(run(settle) == "0 settled\n");
+  CHECK(run(settle).starts_with("1 "));
+  CHECK(run(list) == "0 ");
+  CHECK(has(run({{"show", "k"}, {}, {}, {}, {}}), "settled by ann: not in the books"));
+  CHECK_THROWS_AS(cli::jobs_command({{"settle", "k"}, {}, {}, {}, {}}, part), std::runtime_error);
+  CHECK_THROWS_AS(cli::jobs_command({{"show", "a b"}, {}, {}, {}, {}}, part), std::runtime_error);
+  CHECK_THROWS_AS(cli::store_command({{"check"}, {}, {}, {}, {}}, part), store::Failed);  // it is held
+  dispatcher.reset();
+  CHECK(has(said_on(1, bench.folder.path,
+                    [&] {
+                      cli::store_command({{"check"}, {}, {}, {}, {}}, part);
+                    }),
+            "good, 1 jobs"));
+}
+
+TEST_CASE("the log as JSON lines and as text; where nobody reads it, whoever logs goes on") {
+  Folder folder;
+  const std::string json = said_on(2, folder.path, [] {
+    log::Structured log(true, 64);
+    core::log_line("jobs: \"k\" is in doubt: a reason");
+  });
+  const auto line = nlohmann::json::parse(json);
+  CHECK(line.at("part") == "jobs");
+  CHECK(line.at("text") == "\"k\" is in doubt: a reason");
+  CHECK(line.at("time").get<std::string>().ends_with("Z"));
+  const std::string text = said_on(2, folder.path, [] {
+    log::Structured log(false, 64);
+    core::log_line("jobs: served");
+  });
+  CHECK(text.ends_with("Z jobs: served\n"));
+  int ends[2];
+  REQUIRE(::pipe(ends) == 0);
+  const net::Fd reader(ends[0]), kept(::dup(2));
+  net::Fd writer(ends[1]);
+  ::dup2(writer.get(), 2);
+  std::optional<log::Structured> log;
+  log.emplace(true, 64);
+  const core::Clock clock;
+  const double begun = clock.now();
+  for (int i = 0; i < 5'000; ++i) core::log_line("test: " + std::string(100, 'x'));
+  const double took = clock.now() - begun;
+  ::dup2(kept.get(), 2);
+  std::string come;
+  std::thread drain([&] {
+    std::vector<char> some(65'536);
+    for (ssize_t got = 0; (got = ::read(reader.get(), some.data(), some.size())) > 0;)
+      come.append(some.data(), static_cast<std::size_t>(got));
+  });
+  log.reset();
+  writer = net::Fd();
+  drain.join();
+  CHECK(took < 2'000);
+  CHECK(std::count(come.begin(), come.end(), '\n') < 5'000);  // the oldest were dropped
+}
+
+TEST_CASE("the checker finds each planted fault") {
+  using lab::Entry;
+  using lab::Seen;
+  const std::vector<Seen> good = {{"k", "asked", true, 0, "", ""}, {"k", "told", true, 200, "finished", "r"}};
+  const std::vector<Entry> books = {{"k", "begun", 1, true, ""}, {"k", "finished", 1, true, "r"}};
+  CHECK(lab::judge(good, books).good());
+  std::vector<Entry> twice = books;
+  twice.push_back({"k", "begun", 2, true, ""});
+  CHECK(lab::judge(good, twice).twice == 1);
+  std::vector<Seen> seen = good;
+  seen.push_back({"k", "told", true, 502, "in-doubt", ""});
+  CHECK(lab::judge(seen, books).changed == 1);
+  CHECK(lab::judge(good, {}).contradictions == 1);
+  CHECK(lab::judge({good[0], {"k", "told", true, 503, "refused", ""}}, books).contradictions == 1);
+  CHECK(lab::judge({good[0], {"k", "told", true, 502, "failed", ""}}, books).contradictions == 1);
+  CHECK(lab::judge({good[0], {"k", "gave-up", true, 0, "", ""}}, books).unanswered == 1);
 }
 
 TEST_CASE("the operator's file: a wrong key is named with file, line and what was expected") {
