--- a/src/front/jobs/front.cpp
+++ b/src/front/jobs/front.cpp
@@ -112,7 +112,7 @@
 
 Reply Front::answer(Call& call) {
   if (call.path == "/health/ready" && call.method == "GET")
-    return keeper_.serves() ? Reply{200, {}, "ready\n", 0} : bad(503, "not ready");
+    return keeper_.takes() ? Reply{200, {}, "ready\n", 0} : bad(503, "not ready");
   if (call.path == "/jobs" && call.method == "GET" && operators_)
     return keeper_.list(parameter(call.parameters, "state"));
   constexpr std::string_view kJobs = "/jobs/";
--- a/src/jobs/installation.hpp
+++ b/src/jobs/installation.hpp
@@ -28,6 +28,7 @@
   core::Executor& executor() override { return keeper_; }
   core::Witness* witness() override { return &keeper_; }
   void open() override;
+  void set_taking(bool taking) override { keeper_.set_taking(taking); }
   std::size_t busy() override { return keeper_.out(); }
   void close() override;
 
--- a/src/jobs/keeper.cpp
+++ b/src/jobs/keeper.cpp
@@ -503,6 +503,7 @@
     counts_.refused += 1;
     answer({503, "refused", why, kBrokenMs});
   };
+  if (!taking_) return refuse("clients are sent away\n");
   if (table_.size() >= settings_.most_open) return refuse("too many jobs are open\n");
   // Room for the results of all that are open is held back.
   const std::uint64_t held = (table_.size() + 1) * (kRecordBytes + kResultBytes);
--- a/src/jobs/keeper.hpp
+++ b/src/jobs/keeper.hpp
@@ -83,8 +83,11 @@
   void run();
   // Ends run(): what has come is committed, then the store is closed.
   void stop();
-  // Whether the store is open and takes jobs.
+  // Whether the store is open, and jobs are taken.
   bool serves() const { return serves_; }
+  bool takes() const { return serves_ && taking_; }
+  // While it takes none, PUT is refused; all that was taken goes on, and is told.
+  void set_taking(bool taking) { taking_ = taking; }
   // Executions that are out.
   std::size_t out() const { return out_count_; }
 
@@ -228,7 +231,7 @@
   std::condition_variable came_;
   std::deque<Message> messages_;
   bool stopping_ = false;
-  std::atomic<bool> serves_{false};
+  std::atomic<bool> serves_{false}, taking_{true};
   std::atomic<std::size_t> out_count_{0};
 
   // Of the Keeper's thread:
--- a/src/lab/crash.cpp
+++ b/src/lab/crash.cpp
@@ -45,12 +45,12 @@
       : settings_(settings),
         self_(std::move(self)),
         random_(settings.seed),
-        ports_(free_ports(static_cast<std::size_t>(settings.workers) + 2)) {
+        ports_(free_ports(static_cast<std::size_t>(settings.workers) + 3)) {
     fs::create_directories(settings_.folder);
     for (int i = 0; i < settings_.workers; ++i) {
       Box& box = boxes_.emplace_back();
       box.name = "w" + std::to_string(i);
-      box.port = ports_[static_cast<std::size_t>(i) + 2];
+      box.port = ports_[static_cast<std::size_t>(i) + 3];
       discovery_.set(box.name, "127.0.0.1:" + std::to_string(box.port));
       start_box(box);
     }
@@ -139,8 +139,10 @@
 
   void write_files() {
     const std::string jobs = std::to_string(ports_[1]);
-    std::ofstream(settings_.folder + "/config.json")
-        << config_json(discovery_.list(), discovery_.dial(), ports_[0]).dump(2) << '\n';
+    // Plain clients' addresses differ, as nobody passes a socket here; that of jobs is the same.
+    for (const int which : {0, 1})
+      std::ofstream(config_path(which))
+          << config_json(discovery_.list(), discovery_.dial(), ports_[which == 0 ? 0 : 2]).dump(2) << '\n';
     std::ofstream(settings_.folder + "/operator.toml")
         << "[jobs]\nenabled = true\nlisten = \"127.0.0.1:" << jobs << "\"\nfolder = \"" << settings_.folder
         << "/store\"\nlease_ms = 600\nask_every_ms = 30\nanswering_kinds = ["
@@ -151,10 +153,22 @@
     // Some of its lives end within the store.
     if (settings_.faults && !calm_ && dice(2) == 0)
       environment["WOADTIDE_FAULT"] = "kill:" + std::to_string(1 + dice(kMostOperation)) + kHang;
-    dispatcher_ = Process({settings_.dispatcher, "serve", "--config", settings_.folder + "/config.json",
-                           "--operator", settings_.folder + "/operator.toml"},
+    dispatcher_ = Process({settings_.dispatcher, "serve", "--config", config_path(current_), "--operator",
+                           settings_.folder + "/operator.toml"},
                           environment, settings_.folder + "/dispatcher.log");
   }
+  std::string config_path(int which) const {
+    return settings_.folder + "/config-" + std::to_string(which) + ".json";
+  }
+  // The next process starts beside the running one, which then ends in order and lets go of the store.
+  void upgrade() {
+    if (leaving_.alive()) return;
+    leaving_ = std::move(dispatcher_);
+    current_ = 1 - current_;
+    start_dispatcher();
+    ::kill(leaving_.pid(), SIGTERM);
+    report_.upgrades += 1;
+  }
   std::string ledger_of(const Box& box) const {
     return settings_.folder + '/' + box.name + '-' + std::to_string(box.life) + ".ledger";
   }
@@ -176,12 +190,15 @@
         std::fprintf(stderr, "the dispatcher ended by itself, status %d\n", *status);
       }
     }
+    if (const auto status = leaving_.ended(); status && *status != 0 && !WIFSIGNALED(*status))
+      report_.crashes += 1;
     if (!dispatcher_.alive()) start_dispatcher();
     for (Box& box : boxes_)
       if (!box.process.alive() && clock_.now() >= box.up_at) start_box(box);
   }
   void strike() {
     const int what = dice(10);
+    if (settings_.upgrades && dice(8) == 0) upgrade();
     if (what < 6) {
       dispatcher_.kill();
       report_.dispatcher_kills += 1;
@@ -243,7 +260,8 @@
   const std::vector<int> ports_;
   Discovery discovery_;
   std::vector<Box> boxes_;
-  Process dispatcher_;
+  Process dispatcher_, leaving_;
+  int current_ = 0;  // whose config the running one has
   std::mutex mutex_;
   std::vector<Seen> seen_;
   std::atomic<int> jobs_{0};
--- a/src/lab/crash.hpp
+++ b/src/lab/crash.hpp
@@ -19,12 +19,14 @@
   bool answers = true;  // workers can be asked about jobs
   bool faults = true;   // half of the dispatcher's starts end at a random operation of the store
   double budget_ms = 4'000;
-  double gap_ms = 300;  // mean time between two kills
+  bool upgrades = true;  // some processes are replaced in order: a next one beside them, then SIGTERM
+  double gap_ms = 300;   // mean time between two kills
 };
 
 struct CrashReport {
   Verdict verdict;
   int dispatcher_kills = 0, store_kills = 0, worker_kills = 0, both_kills = 0, emptied = 0;
+  int upgrades = 0;
   int crashes = 0;  // ends that nobody asked for
 };
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -92,8 +92,8 @@
   const lab::Verdict& verdict = report.verdict;
   std::cout << verdict.summary() << "\nkills: dispatcher " << report.dispatcher_kills << ", within its store "
             << report.store_kills << ", worker " << report.worker_kills << ", both " << report.both_kills
-            << "; workers started empty " << report.emptied << "; ends that nobody asked for "
-            << report.crashes << '\n';
+            << "; workers started empty " << report.emptied << "; upgrades " << report.upgrades
+            << "; ends that nobody asked for " << report.crashes << '\n';
   for (const std::string& line : verdict.lines) std::cout << "  " << line << '\n';
   if (verdict.good() && report.crashes == 0) return 0;
   std::cout << "replay: woadtide-lab crash --seed " << crash.seed << " --kills " << crash.kills
--- a/src/lab/worker.cpp
+++ b/src/lab/worker.cpp
@@ -49,6 +49,7 @@
     begun.id = head.find("X-Call-Id").value_or("");
     begun.key = head.find("X-Job-Key").value_or(begun.id);
     begun.epoch = net::whole_number(head.find("X-Job-Epoch").value_or("0")).value_or(0);
+    begun.lease = head.find("X-Job-Lease").value_or("");
     begun.once = head.find("X-Call-Class").value_or("") == "refund-payout";
     intake.use(*length);
     net::BodyDecoder decoder(framing);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -178,6 +178,7 @@
   }
   side_.ready = !evacuated;
   kin_.set_ready(!evacuated);
+  if (addition_) addition_->set_taking(!evacuated);
   if (evacuated)
     clients_.evacuate();
   else
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -110,12 +110,13 @@
 };
 
 TEST_CASE("a job is taken, runs with its lease, and its result is told by key as often as it is asked for") {
-  std::string seen_key, seen_body;
+  std::string seen_key, seen_body, seen_lease;
   std::uint64_t seen_epoch = 0;
   Bench bench([&](const Begun& begun) {
     seen_key = begun.key;
     seen_epoch = begun.epoch;
     seen_body = begun.body;
+    seen_lease = begun.lease;
     return Plan{20};
   });
   Dispatcher dispatcher(bench);
@@ -131,6 +132,7 @@
   CHECK(seen_key == "k1");
   CHECK(seen_epoch == 1);
   CHECK(seen_body == "pay");
+  CHECK(seen_lease == "400m");
   CHECK(bench.worker->executions() == 1);
 }
 
@@ -260,6 +262,26 @@
   CHECK(has(dispatcher.ask("DELETE /jobs/none HTTP/1.1\r\n\r\n"), " 404 "));
 }
 
+TEST_CASE("an evacuation refuses new jobs at once, and tells what was taken") {
+  Bench bench([](const Begun&) { return Plan{200}; });
+  Dispatcher dispatcher(bench);
+  CHECK(has(dispatcher.put("k"), " 202 "));
+  const auto call = [&](const std::string& line) {
+    Peer link = Peer::to(dispatcher.node->management_port());
+    link.write(line);
+    while (link.read_some()) {
+    }
+    return link.come;
+  };
+  CHECK(call("evacuate\n") == "done\n");
+  CHECK(has(dispatcher.ask("GET /health/ready HTTP/1.1\r\n\r\n"), " 503 "));
+  CHECK(has(dispatcher.put("late"), " 503 "));
+  CHECK(has(dispatcher.put("k"), " 202 "));
+  CHECK(has(dispatcher.get("k"), " 200 "));
+  CHECK(call("activate\n") == "done\n");
+  CHECK(has(dispatcher.put("late"), " 202 "));
+}
+
 TEST_CASE("a drain told while a job is leased: it ends there, and nothing new goes there") {
   Bench bench([](const Begun&) { return Plan{400, 50}; });
   Dispatcher dispatcher(bench);
