--- a/src/node.hpp
+++ b/src/node.hpp
@@ -46,9 +46,9 @@
   virtual ~Addition() = default;
   virtual core::Executor& executor() = 0;
   virtual core::Witness* witness() = 0;
-  virtual void open() = 0;         // the loop runs
+  virtual void open() = 0;                   // the loop runs
   virtual void set_taking(bool taking) = 0;  // clients are sent away, or taken again
-  virtual std::size_t busy() = 0;  // executions that a planned end should wait for
+  virtual std::size_t busy() = 0;            // executions that a planned end should wait for
   virtual void close() = 0;  // takes no more, and lets go of what another process may need. Again: nothing
 };
 using Adder = std::function<std::unique_ptr<Addition>(const Parts&)>;
