--- a/src/log/structured.cpp
+++ b/src/log/structured.cpp
@@ -48,8 +48,9 @@
 
 Structured::~Structured() {
   core::set_log_sink(nullptr);
+  pool.reset();  // writes what waits, and joins the thread, which must not be the last to let go of the
+                 // logger
   logger.reset();
-  pool.reset();  // writes what waits
 }
 
 }  // namespace woadtide::log
