Say once how the keeper knows a job's execution, and build its calls in a line each

Three calls were written out in the same shape, and the test for a job's own id stood in four places.

--- a/src/jobs/keeper.cpp
+++ b/src/jobs/keeper.cpp
@@ -136,26 +136,9 @@
   return call(std::move(one));
 }
 
-Reply Keeper::withdraw(const std::string& key) {
-  Call one;
-  one.kind = Call::Kind::withdraw;
-  one.key = key;
-  return call(std::move(one));
-}
-
-Reply Keeper::list(const std::string& state) {
-  Call one;
-  one.kind = Call::Kind::list;
-  one.state = state;
-  return call(std::move(one));
-}
-
-Reply Keeper::show(const std::string& key) {
-  Call one;
-  one.kind = Call::Kind::show;
-  one.key = key;
-  return call(std::move(one));
-}
+Reply Keeper::withdraw(const std::string& key) { return call({.kind = Call::Kind::withdraw, .key = key}); }
+Reply Keeper::list(const std::string& state) { return call({.kind = Call::Kind::list, .state = state}); }
+Reply Keeper::show(const std::string& key) { return call({.kind = Call::Kind::show, .key = key}); }
 
 Reply Keeper::settle(const std::string& key, bool as_finished, const std::string& who,
                      const std::string& why) {
@@ -172,21 +155,21 @@
 
 // What is no job's goes straight on.
 void Keeper::start(core::Execution execution) {
-  if (execution.key.query.find(nonce_) == std::string::npos) return next_.start(std::move(execution));
+  if (!is_job(execution.key)) return next_.start(std::move(execution));
   put_message(StartAsked{std::move(execution)});
 }
 
 void Keeper::cancel(const core::ExecutionKey& key) {
-  if (key.query.find(nonce_) == std::string::npos) return next_.cancel(key);
+  if (!is_job(key)) return next_.cancel(key);
   put_message(CancelAsked{key});  // behind its start
 }
 
 void Keeper::heard(const core::ExecutionKey& key) {
-  if (key.query.find(nonce_) != std::string::npos) put_message(HeardOf{key});
+  if (is_job(key)) put_message(HeardOf{key});
 }
 
 void Keeper::ended(const core::ExecutionKey& key, Status status, const std::string& result, bool told) {
-  if (key.query.find(nonce_) != std::string::npos) put_message(EndedOf{key, status, result, told});
+  if (is_job(key)) put_message(EndedOf{key, status, result, told});
 }
 
 // The thread -----------------------------------------------------------------------------------------------
--- a/src/jobs/keeper.hpp
+++ b/src/jobs/keeper.hpp
@@ -170,6 +170,7 @@
     std::promise<Reply> reply;
   };
 
+  bool is_job(const core::ExecutionKey& key) const { return key.query.find(nonce_) != std::string::npos; }
   Reply call(Call call);
   void put_message(Message message);
   std::deque<Message> take_messages(double wait_ms);
