Spread the fleet's calls to discovery, and refuse by a shared limit of parts of a slot

Timing each call showed why: answers come 60 ms apart, a call that waits 2 s fails, and those that gave up are worked on all the same. A hundred calls at once are 6 s of work, so that asking again keeps it full for good. Two lines were at fault. A failed call set a timer beside the one of ask_for_list, and timers can't be called back: each failure left one more. And all asked in their first millisecond. Now only the newest timer counts, and calls are spread over 0.008 of must_ask_within for each dispatcher beyond eight.

The shared limit moved every 3 s, down to 2 slots, while a dispatcher has 1 to 3 out: it never refused. It now moves with every start, answer and full, and in parts of a slot, kept on average by a draw for each query; its floor is 8 slots over the number of dispatchers, 2 at most, as before for few.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -25,15 +25,19 @@
 constexpr int kFewestFailures = 2;             // in a row, before a worker is left alone for them
 constexpr Micros kOvertaken = kInterval / 60;  // later jobs may start before by less, on their way there
 constexpr int kMostBars = 4;                   // doublings end here: a re-trial at least every 8 first bars
-constexpr double kJitter = 0.25;               // spread of waits, so that dispatchers do not act in step
+constexpr double kCallShare = 0.008;  // of must_ask_within, for a call to discovery; for all at most 0.8
+constexpr double kAskAtOnce = 8;      // dispatchers whose calls discovery stands at once
+constexpr double kJitter = 0.25;      // spread of waits, so that dispatchers do not act in step
 constexpr Micros kWaitMemory = 3 * kInterval;  // fades a wait: one of many dispatchers sees few at a worker
-constexpr double kWaitWeight = 2;         // a wait seen is mostly the work of peers, which nothing else shows
-constexpr double kPickNoise = 0.1;        // spread of pick scores: peers with the same news part ways
-constexpr double kComparers = 16;         // dispatchers that compare the same worker at once, on average
-constexpr double kSharedQuantile = 0.65;  // over workers as they come, some are late by the draw alone
-constexpr double kTurnMargin = 0.5;       // of what a cold worker stands: jobs are uneven and turns may touch
-constexpr double kMoveShare = 0.2;        // moves for a request: where cancelled jobs run on they add load
-constexpr double kCrossing = 3;           // a crossing's price, as late shares of a job's threshold
+constexpr double kWaitWeight = 2;   // a wait seen is mostly the work of peers, which nothing else shows
+constexpr double kPickNoise = 0.1;  // spread of pick scores: peers with the same news part ways
+constexpr double kComparers = 16;   // dispatchers that compare the same worker at once, on average
+constexpr double kSharedCut =
+    0.35;  // slots off the shared limit for a late start, and on it for one in time:
+constexpr double kSharedRise = 0.19;  // it stands where a third are late, as some are by the draw alone
+constexpr double kTurnMargin = 0.5;   // of what a cold worker stands: jobs are uneven and turns may touch
+constexpr double kMoveShare = 0.2;    // moves for a request: where cancelled jobs run on they add load
+constexpr double kCrossing = 3;       // a crossing's price, as late shares of a job's threshold
 
 struct Limiter {
   double limit = kMinLimit;    // AIMD: in slots
@@ -72,7 +76,7 @@
   std::vector<Leftover> left;
   Limiter limiter;
   int intervals = 0;  // that its window has been open
-  bool thin = true;   // too few answers to judge it alone: it counts under the limit that such workers share
+  bool thin = true;   // too few answers to judge it alone; a cold one's turns limit it already
   double pace = 0;    // running time over hinted; 0: not seen yet
   Micros wait{0};     // recent wait in the queue, as of wait_at
   Micros wait_at{0};
@@ -104,6 +108,7 @@
   Micros threshold{0};
   std::vector<Attempt> attempts;
   bool finished = false;
+  double luck = 0;                     // 0 to 1: keeps a limit that is no whole number on average
   std::optional<Micros> may_have_run;  // send time of the first attempt that may have run
   ListEntry ran_at;
 };
@@ -124,18 +129,19 @@
     actions_ = &actions;
     if (std::exchange(started_, true)) return;
     set_timer("limits", scaled(kInterval, uniform(0.5, 1)));
-    if (settings_.list_on_request) ask_for_list();
+    if (settings_.list_on_request) ask_in(scaled(all_ask_within(), uniform(0, 1)));
   }
 
   // Worker list and drains ------------------------------------------------------------------------------
 
   void on(const ListUpdate& update) {
     if (update.kind == ListKind::failed) {
-      // A refused call leaves the list to age: ask again, later each time, inside must_ask_within.
+      // A refused call leaves the list to age: ask again, later each time.
       listening_ = false;
       asks_failed_ = std::min(asks_failed_ + 1, kMostBars);
-      set_timer("ask", scaled(settings_.must_ask_within / 40, spread() * (1 << asks_failed_)));
-      return;
+      const Micros all = all_ask_within(), gap = settings_.must_ask_within / 40 * (1 << asks_failed_);
+      return ask_in(
+          scaled(std::clamp(gap, all, std::max(settings_.must_ask_within / 2, all)), uniform(0.1, 1.9)));
     }
     if (update.kind != ListKind::remembered) listening_ = true, asks_failed_ = 0;
     if (update.kind != ListKind::changes)
@@ -179,12 +185,8 @@
     bans_.erase(ban);
   }
 
-  bool is_out(const std::string& worker) const {
-    const auto ban = bans_.find(worker);
-    return ban != bans_.end() && !ban->second.over;
-  }
+  bool is_out(const std::string& worker) const { return bans_.contains(worker) && !bans_.at(worker).over; }
 
-  // Avoided: by hand, or by back-off for all that it could serve.
   Census census(Micros now) const {
     Census seen;
     for (const auto& [name, worker] : workers_) {
@@ -198,13 +200,24 @@
 
   bool knows(const std::string& worker) const { return workers_.contains(worker) || bans_.contains(worker); }
 
-  double first_limit() const {
-    return std::max(std::floor(kFirstShare / settings_.dispatchers), 2 * kMinLimit);
-  }
+  double first_limit() const { return std::max(std::floor(kFirstShare / settings_.dispatchers), 2.0); }
 
   void ask_for_list() {
     actions_->push_back(Watch{});
-    set_timer("ask", scaled(settings_.must_ask_within / 2, 1 - uniform(0, kJitter)));
+    ask_in(scaled(settings_.must_ask_within / 2, 1 - uniform(0, kJitter)));
+  }
+
+  // Discovery takes calls one by one and works on those that gave up too: a fleet that starts at once would
+  // fill it for as long as it goes on asking. So all spread their calls over what all of them take.
+  Micros all_ask_within() const {
+    return scaled(settings_.must_ask_within,
+                  std::clamp(kCallShare * (settings_.dispatchers - kAskAtOnce), 0.0, 0.8));
+  }
+
+  // Timers can't be called back: only the newest counts, or each failed call would leave one more behind.
+  void ask_in(Micros wait) {
+    ask_at_ = now_ + wait;
+    wait.count() > 0 ? set_timer("ask", wait) : ask_for_list();
   }
 
   // AIMD limiter: the PAPER's, over our own slots and latencies at each worker --------------------------
@@ -213,12 +226,6 @@
     for (auto& [id, job] : jobs_)
       for (Attempt& attempt : job.attempts) note_overdue(job, attempt);
     for (auto& [name, worker] : workers_) judge(worker);
-    if (shared_.ratios.size() >= kFewestSamples) {
-      // It starts open, as traffic is uneven and not known; a cut starts from what was in use at most.
-      update_limit(shared_, shared_used_, kSharedQuantile, shared_used_);
-      shared_.limit = std::max(shared_.limit, 2 * kMinLimit);
-      shared_used_ = slots_out(true);
-    }
     set_timer("limits", kInterval);
   }
 
@@ -227,20 +234,27 @@
     const bool filled = own.ratios.size() >= kFewestSamples;
     if (!filled && !own.timeout_seen && ++worker.intervals < kMostIntervals) return;
     worker.thin = !filled;
-    if (filled || own.timeout_seen) update_limit(own, worker.slots, 0.95, kMaxLimit);
+    if (filled || own.timeout_seen) update_limit(own, worker.slots);
     own.ratios.clear();
     worker.intervals = 0;
   }
 
-  // A cold one's turns limit it already, and its slow answers say nothing of the others.
   static bool is_thin(const Worker& worker) { return worker.thin && !worker.cold_since; }
 
-  // One of many dispatchers has an answer from a given worker once in minutes. What is too thin to judge a
-  // worker by is judged together, so that the limit still refuses when hundreds overfill a fleet.
+  // One of many dispatchers has an answer from a given worker once in minutes: what is too thin is judged
+  // together, and as it comes, by its wait already, so that all still refuse when hundreds overfill a fleet.
   void count(Worker& worker, Attempt& attempt, double late) {
     worker.limiter.ratios.push_back(late);
-    if (is_thin(worker) && !attempt.counted) shared_.ratios.push_back(late);
-    attempt.counted = true;  // a few stuck jobs would outweigh all that go well
+    count_shared(worker, attempt, late > 1);
+  }
+
+  // A few stuck jobs would outweigh all that go well: each attempt counts once.
+  void count_shared(const Worker& worker, Attempt& attempt, bool late) {
+    if (std::exchange(attempt.counted, true) || !is_thin(worker)) return;
+    const double out = slots_out(true), step = std::min(shared_limit_, 1.0);
+    if (late) shared_limit_ = std::min(shared_limit_, out) - kSharedCut * step;
+    if (!late && 2 * out >= shared_limit_) shared_limit_ += kSharedRise * step;
+    shared_limit_ = std::clamp(shared_limit_, std::min(2.0, kFirstShare / settings_.dispatchers), kMaxLimit);
   }
 
   // A job that is out past its threshold is a slow one already: waiting for its end would tell too late.
@@ -249,9 +263,9 @@
     count(workers_.at(attempt.worker), attempt, ratio(now_ - attempt.sent, job.threshold));
   }
 
-  static void update_limit(Limiter& own, double slots, double q, double cut_from) {
-    if (own.timeout_seen || quantile(own.ratios, q, kFullSample) > 1)
-      own.limit = std::floor(std::min(own.limit, cut_from) * kBackoffRatio);
+  static void update_limit(Limiter& own, double slots) {
+    if (own.timeout_seen || quantile(own.ratios, 0.95, kFullSample) > 1)
+      own.limit = std::floor(own.limit * kBackoffRatio);
     else if (slots * 2 >= own.limit)
       own.limit += 1;
     own.limit = std::clamp(own.limit, kMinLimit, kMaxLimit);
@@ -268,9 +282,9 @@
     job.request = request;
     job.deadline = now_ + request.time_left;
     job.work = request.hint.value_or(class_work_[request.class_index]);
-    // Without an aim one fixed threshold serves: half of the time that the client allows.
     job.threshold = kind.aim ? *kind.aim + scaled(job.work, kind.stretch) : kind.deadline / 2;
     job.threshold = std::min(job.threshold, kind.deadline);
+    job.luck = uniform(0, 1);
     mean_load_ += kSmoothing * (load_of(job) - mean_load_);
     moves_left_ = std::min(moves_left_ + kMoveShare, 1 / kMoveShare);
     const auto placed = jobs_.emplace(request.id, std::move(job)).first;
@@ -279,8 +293,7 @@
   }
 
   bool admits(const Worker& worker, const Job& job) const {
-    if (is_thin(worker) && shared_slots_ > 0 && shared_slots_ + job.request.slots > shared_.limit)
-      return false;
+    if (is_thin(worker) && shared_slots_ + job.request.slots - job.luck > shared_limit_) return false;
     return worker.jobs == 0 || worker.slots + job.request.slots <= worker.limiter.limit;
   }
 
@@ -359,10 +372,9 @@
 
   double expected_wait(const Worker& worker) const {
     const double usual = *worker.usual_wait;
-    return usual + faded(seconds(worker.wait) - usual, worker.wait_at, kWaitMemory);
+    return usual + faded(seconds(worker.wait) - usual, now_ - worker.wait_at, kWaitMemory);
   }
 
-  // A worker not seen yet is taken to be like its kind.
   double pace_of(const Worker& worker) const {
     if (worker.cold_since) return usual_pace(worker) / warm_share(worker);
     return worker.pace > 0 ? worker.pace : usual_pace(worker);
@@ -381,9 +393,7 @@
 
   const ClassSettings& class_of(const Job& job) const { return settings_.classes[job.request.class_index]; }
 
-  bool tries_left(const Job& job) const {
-    return static_cast<int>(job.attempts.size()) < settings_.max_attempts;
-  }
+  bool tries_left(const Job& job) const { return std::ssize(job.attempts) < settings_.max_attempts; }
 
   // An attempt that may have run bars an unsafe job from another, a keyed one after its window.
   bool may_send(const Job& job) const {
@@ -403,7 +413,6 @@
     health_of(worker, job).jobs += 1;
     worker.slots += job.request.slots;
     worker.work += job.work;
-    shared_used_ = std::max(shared_used_, shared_slots_ + (is_thin(worker) ? job.request.slots : 0));
     worker.last_cycle = worker.next_cycle;
     job.attempts.push_back({worker.entry.worker, now_, std::nullopt, true});
     actions_->push_back(Send{job.request.id, worker.entry.worker, Micros{0}});
@@ -441,7 +450,6 @@
     drop_if_over(found);
   }
 
-  // One that hangs is on no slot.
   void leave(Worker& worker, const Job& job, const Attempt& attempt) const {
     if (health_of(worker, job).mute) return;
     const Micros begin = attempt.began.value_or(now_ + seconds_span(expected_wait(worker)));
@@ -449,7 +457,6 @@
     if (end > now_) worker.left.push_back({end, job.request.slots, job.work});
   }
 
-  // Where the job is held, and its attempt of that number if it is still out.
   std::pair<std::map<std::string, Job>::iterator, Attempt*> find_out(const std::string& id, int number) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || number < 0) return {found, nullptr};
@@ -481,9 +488,10 @@
     Worker& worker = workers_.at(attempt->worker);
     health_of(worker, found->second).mute = false;
     note_wait(worker, now_ - attempt->sent);
+    const Micros due = now_ - attempt->sent + scaled(found->second.work, pace_of(worker));
+    count_shared(worker, *attempt, due > found->second.threshold);
     look_at_overtaken(worker, *attempt);
     worker.running += found->second.request.slots;
-    // A worker of this kind has at least as many cores.
     worker.kind->cores = std::max(worker.kind->cores, worker.running);
   }
 
@@ -562,12 +570,12 @@
       worker.limiter.timeout_seen = true;
     if (status == Status::connect_failed || status == Status::reset) worker.link_failures += 1;
     // A full worker has the least of our work and would draw every next job before one of its own can end.
+    if (status == Status::full) count_shared(worker, attempt, true);
     if (status == Status::full) worker.full_until = now_ + scaled(seconds_span(mean_load_), spread());
     if (status == Status::ok) return observe_ok(worker, job, attempt);
     if (status == Status::full || status == Status::moot) return;
     Health& health = health_of(worker, job);
     if (status == Status::cancelled) return health.mute ? bar(worker, health) : void();
-    // Links break and jobs fail by chance too, at workers that are well: one failure is no news of a worker.
     for (Health& one : worker.health) {
       if (&one != &health && status != Status::connect_failed) continue;
       one.failures += status == Status::timeout ? kFewestFailures : 1;
@@ -664,7 +672,7 @@
   void on(const TimerFired& timer) {
     if (timer.token.starts_with("start ")) check_start(timer.token);
     if (timer.token == "limits") update_limits();
-    if (timer.token == "ask" && !listening_) ask_for_list();
+    if (timer.token == "ask" && !listening_ && now_ >= ask_at_) ask_for_list();
   }
 
   void set_timer(const std::string& token, Micros wait) {
@@ -681,9 +689,6 @@
   double uniform(double from, double to) {
     return from + (to - from) * static_cast<double>(random_() >> 11) * 0x1p-53;
   }
-  double faded(double value, Micros since, Micros memory) const {
-    return value * std::exp(-seconds(now_ - since) / seconds(memory));
-  }
   double spread() { return uniform(1 - kJitter, 1 + kJitter); }
 
   Settings settings_;
@@ -693,14 +698,14 @@
   bool started_ = false;
   bool listening_ = false;  // subscribed to the list, as far as we know
   int asks_failed_ = 0;
+  Micros ask_at_{0};
   int sharers_ = 1;  // processes that take our turns at cold workers
   std::map<std::string, Worker> workers_;
   std::map<std::string, Ban> bans_;  // by worker
   std::map<std::string, Job> jobs_;
   std::vector<Micros> class_work_;  // usual latency of each class, for jobs without a hint
   double moves_left_ = 0;
-  Limiter shared_{kMaxLimit, {}, false};
-  double shared_used_ = 0;   // most slots out under it since its last update
+  double shared_limit_ = kMaxLimit;
   double shared_slots_ = 0;  // slots out under it, as of the last pick
   // Of workers alike, for those we know little of.
   std::map<std::pair<std::string, std::string>, double> usual_wait_;
--- a/src/numbers.hpp
+++ b/src/numbers.hpp
@@ -20,6 +20,11 @@
   return static_cast<double>(latency.count()) / static_cast<double>(std::max(threshold, Micros{1}).count());
 }
 
+// What is left of a value that is `age` old.
+inline double faded(double value, Micros age, Micros memory) {
+  return value * std::exp(-seconds(age) / seconds(memory));
+}
+
 // Under `full` samples a high quantile is the maximum, and one long job would halve a healthy worker's limit:
 // there the largest is left out.
 inline double quantile(std::vector<double>& samples, double q, std::size_t full) {
