--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -140,24 +140,11 @@
   return entry;
 }
 
-// Load reports are pairs, written as an object; values that are not known here are skipped.
 std::optional<LoadReport> read_load(const json& message, const Names& names) {
   const json* load = find(message, "Load");
   if (!load) return std::nullopt;
   if (!load->is_object()) wrong("Load", "an object");
-  LoadReport report;
-  const auto place = [&report](const std::string& meaning, double value) {
-    if (meaning == "free slots") report.free_slots = value;
-    if (meaning == "free memory") report.free_memory = value;
-  };
-  for (const auto& [name, value] : load->items()) {
-    if (!value.is_number()) continue;
-    if (name == "waiting") report.queue = value.get<double>();
-    if (name == "cpu") report.utilization = value.get<double>();
-    if (name == "x0") place(names.x0, value.get<double>());
-    if (name == "x1") place(names.x1, value.get<double>());
-  }
-  return report;
+  return read_report(*load, names.x0, names.x1);
 }
 
 std::string read_id(const json& m) { return text(need(m, "Ref"), "Ref"); }
@@ -248,6 +235,22 @@
 
 }  // namespace
 
+LoadReport read_report(const json& pairs, const std::string& x0, const std::string& x1) {
+  LoadReport report;
+  const auto place = [&report](const std::string& meaning, double value) {
+    if (meaning == "free slots") report.free_slots = value;
+    if (meaning == "free memory") report.free_memory = value;
+  };
+  for (const auto& [name, value] : pairs.items()) {
+    if (!value.is_number()) continue;
+    if (name == "waiting") report.queue = value.get<double>();
+    if (name == "cpu") report.utilization = value.get<double>();
+    if (name == "x0") place(x0, value.get<double>());
+    if (name == "x1") place(x1, value.get<double>());
+  }
+  return report;
+}
+
 Settings read_settings(const json& boot, std::vector<std::string>& class_names) {
   if (!boot.is_object()) wrong("BootInfo", "an object");
   Settings s;
@@ -275,6 +278,8 @@
   s.cross_zone_price = number_or(section(boot, "Prices"), "CrossZone", 0);
 
   const json& domain = section(boot, "Domain");
+  s.report_x0 = text_or(domain, "ReportX0", "");
+  s.report_x1 = text_or(domain, "ReportX1", "");
   s.tells_start = boolean_or(domain, "TellsStart", false);
   s.progress_every = micros_or(domain, "ProgressUs", 0);
   const json& stretches = list(domain, "ClassStretch");
@@ -309,9 +314,8 @@
   if (!entropy.is_number_integer()) wrong("Entropy", "an integer");
   Names names;
   Settings settings = read_settings(boot, names.classes);
-  const json& domain = section(boot, "Domain");
-  names.x0 = text_or(domain, "ReportX0", "");
-  names.x1 = text_or(domain, "ReportX1", "");
+  names.x0 = settings.report_x0;
+  names.x1 = settings.report_x1;
   instances_.erase(who);
   instances_.emplace(
       who, Instance{Dispatcher(std::move(settings), entropy.get<std::uint64_t>()), std::move(names)});
--- a/adapter/wire.hpp
+++ b/adapter/wire.hpp
@@ -25,6 +25,9 @@
   std::string x0, x1;  // what these report values mean
 };
 
+// Pairs of a name and a value; values that are not known here are skipped.
+LoadReport read_report(const nlohmann::json& pairs, const std::string& x0, const std::string& x1);
+
 class Host {
  public:
   // Takes one batch, gives one reply, both without the line's end. Throws Malformed.
--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -57,6 +57,7 @@
   // For the owner's links to workers, where it has any; the module has no use for them. 0: not told.
   Micros connect_timeout{0};
   Micros link_idle{0};  // a worker closes a link that has stood idle for this long
+  std::string report_x0 = {}, report_x1 = {};  // what these values of a worker's load report mean
 };
 
 // Throws std::invalid_argument, naming the setting, when one cannot be right.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -14,8 +14,7 @@
 
 constexpr Micros kInterval = std::chrono::seconds(3);  // the PAPER's gap between two updates of a limit
 constexpr double kBackoffRatio = 0.7;  // a limit's cut; with +1 a step it finds its level in a few steps
-constexpr double kMinLimit = 1;        // one slot: a worker is never shut off by its limit
-constexpr double kMaxLimit = 64;       // far above what a worker holds; stops growth that nothing tests
+constexpr double kMinLimit = 1, kMaxLimit = 64;  // a worker is never shut off; nothing tests growth for ever
 constexpr double kFirstShare = 8;  // slots at a worker that all dispatchers share out as their first limits
 constexpr std::size_t kFullSample = 20;        // below this many a p95 is the maximum
 constexpr std::size_t kFewestSamples = 5;      // a window with fewer waits for the next interval
@@ -23,6 +22,7 @@
 constexpr double kSmoothing = 0.2;             // weight of a new observation in a running mean
 constexpr Micros kFirstBar = kInterval / 3;    // how long a worker is left alone after its first failure
 constexpr int kFewestFailures = 2;             // in a row, before a worker is left alone for them
+constexpr int kSilent = 6;                     // connects that fail in a zone where none succeeds
 constexpr Micros kOvertaken = kInterval / 60;  // later jobs may start before by less, on their way there
 constexpr int kMostBars = 4;                   // doublings end here: a re-trial at least every 8 first bars
 constexpr double kCallShare = 0.008;  // of must_ask_within, for a call to discovery; for all at most 0.8
@@ -32,12 +32,10 @@
 constexpr double kWaitWeight = 2;   // a wait seen is mostly the work of peers, which nothing else shows
 constexpr double kPickNoise = 0.1;  // spread of pick scores: peers with the same news part ways
 constexpr double kComparers = 16;   // dispatchers that compare the same worker at once, on average
-constexpr double kSharedCut =
-    0.35;  // slots off the shared limit for a late start, and on it for one in time:
-constexpr double kSharedRise = 0.19;  // it stands where a third are late, as some are by the draw alone
-constexpr double kTurnMargin = 0.5;   // of what a cold worker stands: jobs are uneven and turns may touch
-constexpr double kMoveShare = 0.2;    // moves for a request: where cancelled jobs run on they add load
-constexpr double kCrossing = 3;       // a crossing's price, as late shares of a job's threshold
+constexpr double kSharedCut = 0.35, kSharedRise = 0.19;  // slots, for each late start and each in time
+constexpr double kTurnMargin = 0.5;  // of what a cold worker stands: jobs are uneven and turns may touch
+constexpr double kMoveShare = 0.2;   // moves for a request: where cancelled jobs run on they add load
+constexpr double kCrossing = 3;      // a crossing's price, as late shares of a job's threshold
 
 struct Limiter {
   double limit = kMinLimit;    // AIMD: in slots
@@ -47,6 +45,7 @@
 
 struct Kind {
   double pace = 0, cores = 1;  // what is known of workers alike
+  int reports_wanted = 8;      // that name free slots
 };
 
 // Of one class at one worker: a worker may fail or hang for some of what it gets and serve the rest well.
@@ -87,7 +86,6 @@
   double last_cycle = -1, next_cycle = -1;  // of its dispatchers' turns: where ours is spent, and is on
 };
 
-// By an operator's hand, whatever the list says meanwhile.
 struct Ban {
   Micros since{0};
   std::optional<Micros> over;  // called back, but the list did not name it then
@@ -122,6 +120,9 @@
     class_work_.assign(settings_.classes.size(), Micros{0});
     // Where no time is stated an interval serves: without one, refused calls would be repeated every tick.
     if (settings_.must_ask_within.count() == 0) settings_.must_ask_within = kInterval;
+    // Discovery takes calls one by one, and works on those that gave up too: all spread theirs over that.
+    const double share = std::clamp(kCallShare * (settings_.dispatchers - kAskAtOnce), 0.0, 0.8);
+    all_ask_ = scaled(settings_.must_ask_within, share);
   }
 
   void begin(Micros now, std::vector<Action>& actions) {
@@ -129,7 +130,7 @@
     actions_ = &actions;
     if (std::exchange(started_, true)) return;
     set_timer("limits", scaled(kInterval, uniform(0.5, 1)));
-    if (settings_.list_on_request) ask_in(scaled(all_ask_within(), uniform(0, 1)));
+    if (settings_.list_on_request) ask_in(scaled(all_ask_, uniform(0, 1)));
   }
 
   // Worker list and drains ------------------------------------------------------------------------------
@@ -139,9 +140,9 @@
       // A refused call leaves the list to age: ask again, later each time.
       listening_ = false;
       asks_failed_ = std::min(asks_failed_ + 1, kMostBars);
-      const Micros all = all_ask_within(), gap = settings_.must_ask_within / 40 * (1 << asks_failed_);
-      return ask_in(
-          scaled(std::clamp(gap, all, std::max(settings_.must_ask_within / 2, all)), uniform(0.1, 1.9)));
+      const Micros gap = settings_.must_ask_within / 40 * (1 << asks_failed_);
+      return ask_in(scaled(std::clamp(gap, all_ask_, std::max(settings_.must_ask_within / 2, all_ask_)),
+                           uniform(0.1, 1.9)));
     }
     if (update.kind != ListKind::remembered) listening_ = true, asks_failed_ = 0;
     if (update.kind != ListKind::changes)
@@ -164,8 +165,6 @@
     take_back(worker);
   }
 
-  // Workers out by hand ---------------------------------------------------------------------------------
-
   void on(const Exclude& call) { bans_.try_emplace(call.worker, Ban{now_, {}}).first->second.over.reset(); }
 
   void on(const Include& call) {
@@ -173,13 +172,11 @@
     if (const auto known = workers_.find(call.worker); known != workers_.end()) take_back(known->second);
   }
 
-  // Operators restart what is out: it comes back cold, and what was held against it is over.
   void take_back(Worker& worker) {
     const auto ban = bans_.find(worker.entry.worker);
     if (ban == bans_.end() || !ban->second.over) return;
     for (Health& one : worker.health) one = {.jobs = one.jobs};
     worker.link_failures = 0;
-    worker.full_until = Micros{0};
     const Micros told = worker.entry.started.value_or(Micros{0});
     start_cold(worker, told > ban->second.since ? told : *ban->second.over);
     bans_.erase(ban);
@@ -207,13 +204,6 @@
     ask_in(scaled(settings_.must_ask_within / 2, 1 - uniform(0, kJitter)));
   }
 
-  // Discovery takes calls one by one and works on those that gave up too: a fleet that starts at once would
-  // fill it for as long as it goes on asking. So all spread their calls over what all of them take.
-  Micros all_ask_within() const {
-    return scaled(settings_.must_ask_within,
-                  std::clamp(kCallShare * (settings_.dispatchers - kAskAtOnce), 0.0, 0.8));
-  }
-
   // Timers can't be called back: only the newest counts, or each failed call would leave one more behind.
   void ask_in(Micros wait) {
     ask_at_ = now_ + wait;
@@ -223,8 +213,11 @@
   // AIMD limiter: the PAPER's, over our own slots and latencies at each worker --------------------------
 
   void update_limits() {
+    // A job that is out past its threshold is a slow one already: waiting for its end would tell too late.
     for (auto& [id, job] : jobs_)
-      for (Attempt& attempt : job.attempts) note_overdue(job, attempt);
+      for (Attempt& attempt : job.attempts)
+        if (const Micros age = now_ - attempt.sent; attempt.out && age > job.threshold)
+          count(workers_.at(attempt.worker), attempt, ratio(age, job.threshold));
     for (auto& [name, worker] : workers_) judge(worker);
     set_timer("limits", kInterval);
   }
@@ -252,17 +245,12 @@
   void count_shared(const Worker& worker, Attempt& attempt, bool late) {
     if (std::exchange(attempt.counted, true) || !is_thin(worker)) return;
     const double out = slots_out(true), step = std::min(shared_limit_, 1.0);
-    if (late) shared_limit_ = std::min(shared_limit_, out) - kSharedCut * step;
+    shared_used_ = std::max(out, 0.9 * shared_used_);
+    if (late) shared_limit_ = std::min(shared_limit_, shared_used_) - kSharedCut * step;
     if (!late && 2 * out >= shared_limit_) shared_limit_ += kSharedRise * step;
     shared_limit_ = std::clamp(shared_limit_, std::min(2.0, kFirstShare / settings_.dispatchers), kMaxLimit);
   }
 
-  // A job that is out past its threshold is a slow one already: waiting for its end would tell too late.
-  void note_overdue(const Job& job, Attempt& attempt) {
-    if (!attempt.out || now_ - attempt.sent <= job.threshold) return;
-    count(workers_.at(attempt.worker), attempt, ratio(now_ - attempt.sent, job.threshold));
-  }
-
   static void update_limit(Limiter& own, double slots) {
     if (own.timeout_seen || quantile(own.ratios, 0.95, kFullSample) > 1)
       own.limit = std::floor(own.limit * kBackoffRatio);
@@ -297,7 +285,6 @@
     return worker.jobs == 0 || worker.slots + job.request.slots <= worker.limiter.limit;
   }
 
-  // Ready, of the job's kind, not tried before, and in the group that drops repeats if it may have run.
   bool may_take(const Worker& worker, const Job& job) const {
     const ClassSettings& kind = class_of(job);
     if (worker.entry.state != WorkerState::ready || is_out(worker.entry.worker)) return false;
@@ -310,8 +297,7 @@
                         [&](const Attempt& a) { return a.worker == worker.entry.worker; });
   }
 
-  // Many dispatchers that know little of most workers would all see the same one as best. So each compares
-  // a few, drawn by listed size, in its own zone and outside: fewer, the more dispatchers there are.
+  // Many that know little would all see the same worker as best: each compares a few, drawn by listed size.
   Worker* pick(const Job& job) {
     std::vector<std::pair<double, Worker*>> found;
     int best_rank = 1;
@@ -359,8 +345,7 @@
     return class_of(job).effect == Effect::unsafe ? 1 : 0;
   }
 
-  // Our outstanding hinted work there with this job on top, as time at the pace seen there, and what the
-  // queue lately cost. It parts workers that have nothing of ours, which most picks at low load are between.
+  // Our outstanding hinted work there with this job, at the pace seen there, and what the queue lately cost.
   double work_ahead(const Worker& worker, const Job& job) {
     const double away = worker.entry.zone == settings_.zone ? 0 : settings_.cross_zone_price * kCrossing;
     Micros work = worker.work + job.work;
@@ -404,8 +389,8 @@
 
   bool may_refuse(const Job& job) const {
     const ClassSettings& kind = class_of(job);
-    if (!job.may_have_run || kind.effect == Effect::safe) return true;
-    return kind.effect == Effect::keyed && kind.group == Group::all;
+    const bool any_repeats = kind.effect == Effect::keyed && kind.group == Group::all;
+    return !job.may_have_run || kind.effect == Effect::safe || any_repeats;
   }
 
   void send(Job& job, Worker& worker) {
@@ -488,6 +473,7 @@
     Worker& worker = workers_.at(attempt->worker);
     health_of(worker, found->second).mute = false;
     note_wait(worker, now_ - attempt->sent);
+    note_link(worker.entry.zone, true);
     const Micros due = now_ - attempt->sent + scaled(found->second.work, pace_of(worker));
     count_shared(worker, *attempt, due > found->second.threshold);
     look_at_overtaken(worker, *attempt);
@@ -515,8 +501,7 @@
     *worker.usual_wait += kSmoothing * (seconds(seen) - *worker.usual_wait);
   }
 
-  // A job that has not started when its wait is well above the usual is looked at again: its age is news of
-  // the queue that no answer brings yet, and a job that may be repeated can still be in time elsewhere.
+  // A job that should have started is looked at again: its age is news, and it may yet be in time elsewhere.
   void check_start(const std::string& token) {
     const int number = std::stoi(token.substr(6));
     const auto [found, attempt] = find_out(token.substr(token.find(' ', 6) + 1), number);
@@ -534,7 +519,6 @@
     set_timer(token, left > 0 ? std::min(age, seconds_span(left) + settings_.tick) : age);
   }
 
-  // Seconds that it may still wait there and be in time.
   double slack(const Job& job, const Worker& worker) const {
     const double since = seconds(now_ - job.deadline + job.request.time_left);
     return seconds(job.threshold) - since - seconds(job.work) * pace_of(worker);
@@ -545,8 +529,7 @@
     return class_of(job).late_worth <= 0 && slack(job, worker) <= 0;
   }
 
-  // Moved only where it would still be in time (in overload moves help nobody), and not too often; away from
-  // a worker that may hang, to be answered at all.
+  // Only where it would still be in time, and not too often; or to be answered at all, where workers hang.
   bool may_move(const Job& job, const Worker& from) {
     if (!settings_.may_cancel || class_of(job).effect != Effect::safe || job.finished || moves_left_ < 1 ||
         !tries_left(job))
@@ -560,6 +543,14 @@
                 : wait <= slack(job, *other);
   }
 
+  // One of many sees few of its own jobs run at once: its workers have to tell how many cores a kind has.
+  void on(const ProbeResult& told) {
+    const auto known = workers_.find(told.worker);
+    if (known == workers_.end() || !told.load || told.load->free_slots.value_or(0) < 1) return;
+    known->second.kind->reports_wanted -= 1;
+    known->second.kind->cores = std::max(known->second.kind->cores, *told.load->free_slots);
+  }
+
   void on(const Sharers& now) { sharers_ = std::max(now.processes, 1); }
 
   template <class Unused>
@@ -569,6 +560,7 @@
     if (status == Status::full || status == Status::timeout || status == Status::connect_failed)
       worker.limiter.timeout_seen = true;
     if (status == Status::connect_failed || status == Status::reset) worker.link_failures += 1;
+    if (status == Status::connect_failed) note_link(worker.entry.zone, false);
     // A full worker has the least of our work and would draw every next job before one of its own can end.
     if (status == Status::full) count_shared(worker, attempt, true);
     if (status == Status::full) worker.full_until = now_ + scaled(seconds_span(mean_load_), spread());
@@ -583,6 +575,15 @@
     }
   }
 
+  // Connects that fail all over a zone are a zone that is lost. It comes back cold, before the list says so,
+  // and each of many dispatchers would try it with the few jobs that it has: so it gets turns from here on.
+  void note_link(const std::string& zone, bool up) {
+    const int silent = up ? std::exchange(silence_[zone], 0) : ++silence_[zone];
+    if (silent < kSilent) return;
+    for (auto& [name, worker] : workers_)
+      if (worker.entry.zone == zone) start_cold(worker, now_);
+  }
+
   void observe_ok(Worker& worker, Job& job, Attempt& attempt) {
     const Micros latency = now_ - attempt.sent;
     count(worker, attempt, ratio(latency, job.threshold));
@@ -596,6 +597,8 @@
     // A run of broken connections that ends in an answer is most likely a restart the list has not told.
     if (worker.link_failures > kFewestFailures && !worker.cold_since) start_cold(worker, now_);
     worker.link_failures = 0;
+    if (settings_.may_probe && !worker.cold_since && worker.kind->reports_wanted > 0)
+      actions_->push_back(Probe{worker.entry.worker});
     Health& health = health_of(worker, job);
     health.failures = 0;
     if (health.trial_left > 0 && --health.trial_left == 0) health.bars = 0;
@@ -618,8 +621,8 @@
     return settings_.start_capacity + (1 - settings_.start_capacity) * std::clamp(age, 0.0, 1.0);
   }
 
-  // The dispatchers take turns at a cold worker, evenly spaced in their order, and one turn is one job.
-  // Shares drawn by lot kept the mean but not the sum: by chance, or in overload, hundreds sent at once.
+  // The dispatchers take turns at a cold worker, evenly spaced in their order, and one turn is one job:
+  // shares drawn by lot kept the mean but not the sum.
   bool cold_turn(Worker& worker, const Job& job) {
     if (now_ - *worker.cold_since >= settings_.cold_time) return worker.cold_since.reset(), true;
     if (mean_load_ <= 0) return false;
@@ -627,9 +630,7 @@
     const double whole = kTurnMargin * settings_.fall_multiple * seconds(settings_.fall_after) *
                          worker.kind->cores / (mean_load_ * usual_pace(worker) * sharers_);
     const double jobs = std::max(1.0, whole * warm_share(worker));
-    // One heavy job can spend all that a span allows: how heavy a job may be grows with the capacity.
     if (load_of(job) > mean_load_ * std::sqrt(jobs)) return false;
-    // The capacity it has had since its start, in spans, tells how many turns have been.
     const double age = seconds(now_ - *worker.cold_since);
     const double spans =
         age * (settings_.start_capacity + warm_share(worker)) / 2 / seconds(settings_.fall_after);
@@ -640,13 +641,9 @@
     return worker.last_cycle != cycle ? worker.next_cycle = cycle, true : false;
   }
 
-  // Each slot of a job takes a core for its running time.
   static double load_of(const Job& job) { return seconds(job.work) * job.request.slots; }
 
-  // Health ----------------------------------------------------------------------------------------------
-
-  // A worker that fails looks idle, so least work would feed it: it is left alone for a while, longer each
-  // time, and then tried with one job at a time until it has answered well often enough.
+  // One that fails looks idle, so least work would feed it: it is left alone, longer each time, then tried.
   void bar(const Worker& worker, Health& health) {
     if (now_ < health.barred_until) return;
     health.bars = std::min(health.bars + 1, kMostBars);
@@ -667,8 +664,6 @@
     return balance > 0;
   }
 
-  // Timers ----------------------------------------------------------------------------------------------
-
   void on(const TimerFired& timer) {
     if (timer.token.starts_with("start ")) check_start(timer.token);
     if (timer.token == "limits") update_limits();
@@ -698,7 +693,7 @@
   bool started_ = false;
   bool listening_ = false;  // subscribed to the list, as far as we know
   int asks_failed_ = 0;
-  Micros ask_at_{0};
+  Micros ask_at_{0}, all_ask_{0};
   int sharers_ = 1;  // processes that take our turns at cold workers
   std::map<std::string, Worker> workers_;
   std::map<std::string, Ban> bans_;  // by worker
@@ -706,11 +701,13 @@
   std::vector<Micros> class_work_;  // usual latency of each class, for jobs without a hint
   double moves_left_ = 0;
   double shared_limit_ = kMaxLimit;
+  double shared_used_ = 0;
   double shared_slots_ = 0;  // slots out under it, as of the last pick
   // Of workers alike, for those we know little of.
   std::map<std::pair<std::string, std::string>, double> usual_wait_;
   std::map<std::string, Kind> kinds_;
-  double mean_load_ = 0;  // seconds of hinted work times slots in a usual job
+  std::map<std::string, int> silence_;  // connects that failed in a zone since a job last started there
+  double mean_load_ = 0;                // seconds of hinted work times slots in a usual job
 };
 
 Dispatcher::Dispatcher(Settings settings, std::uint64_t seed)
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -5,6 +5,7 @@
 #include <exception>
 #include <utility>
 
+#include "core/load_report.hpp"
 #include "core/log.hpp"
 
 namespace woadtide::core {
@@ -19,6 +20,8 @@
                            std::uint64_t seed, Clock& clock, Inbox& inbox, Executor& executor,
                            HostSource& hosts, Kin& kin, Witness* witness)
     : class_names_(std::move(class_names)),
+      report_x0_(settings.report_x0),
+      report_x1_(settings.report_x1),
       dispatcher_(std::move(settings), seed),
       clock_(clock),
       inbox_(inbox),
@@ -155,7 +158,9 @@
 }
 
 void DecisionLoop::take(ProbeEnded& message) {
-  feed(woadtide::ProbeResult{message.worker, message.status, std::nullopt});
+  std::optional<woadtide::LoadReport> load;
+  if (message.status == Status::ok) load = read_load_report(message.report, report_x0_, report_x1_);
+  feed(woadtide::ProbeResult{message.worker, message.status, load});
 }
 
 void DecisionLoop::take(ListTold& message) { feed(message.update); }
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -108,6 +108,7 @@
   std::string telemetry() const;
 
   std::vector<std::string> class_names_;
+  std::string report_x0_, report_x1_;
   woadtide::Dispatcher dispatcher_;
   Clock& clock_;
   Inbox& inbox_;
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -43,6 +43,7 @@
 struct ProbeEnded {
   std::string worker;
   woadtide::Status status = woadtide::Status::error;
+  std::string report = {};  // as the worker wrote it: `name=value,name=value`
 };
 struct ListTold {
   woadtide::ListUpdate update;
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -307,7 +307,7 @@
     if (lines.next(line, task.execution.deadline + kBackstopMs, kRestMs) != LineReader::Got::line)
       return broken(link, Status::reset);
     if (line.empty()) continue;
-    if (task.probe) return {Status::ok};
+    if (task.probe) return {Status::ok, std::move(line)};
     const nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
     // Another query's result must not reach this client.
     if (!event.is_object() || event.value("id", nlohmann::json()) != key.query)
@@ -349,7 +349,7 @@
 
 void ServerLinks::report(const Task& task, Ending ending) {
   if (task.probe)
-    inbox_.put(core::ProbeEnded{task.execution.worker, ending.status});
+    inbox_.put(core::ProbeEnded{task.execution.worker, ending.status, std::move(ending.result)});
   else
     inbox_.put(core::ExecutionEnded{task.execution.key, ending.status, std::move(ending.result),
                                     ending.bad_query, ending.failed});
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,4 +1,5 @@
 // The decision loop without sockets or threads: stepped by hand under a set clock.
+#include "core/load_report.hpp"
 #include "node_harness.hpp"
 
 namespace woadtide::core {
@@ -276,5 +277,17 @@
   CHECK(told("/known/hosts", {{{"host", "w"}}}).find("host list") != std::string::npos);
 }
 
+TEST_CASE("a worker's load report is read whole or not at all") {
+  const auto read = [](std::string_view text) { return read_load_report(text, "free slots", "free memory"); };
+  const auto good = read("x0=3.871,rps=0.990,avg_ms=393.594,waiting=2");
+  REQUIRE(good);
+  CHECK(good->free_slots == 3.871);
+  CHECK(good->queue == 2);
+  CHECK_FALSE(good->utilization);
+  CHECK_FALSE(read_load_report("x0=1", "share done", "")->free_slots);
+  for (const char* bad : {"x0", "x0=", "x0=1,,rps=2", "x0=nan", "x0=-1", "x0=1e300", "x0=2 ", "{\"x0\":1}"})
+    CHECK_FALSE_MESSAGE(read(bad), bad);
+}
+
 }  // namespace
 }  // namespace woadtide::core
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -23,11 +23,12 @@
     ListEntry entry;
     int cores = 3;
     std::size_t queue_room = 12;
-    Micros cold_until{0};  // it runs at cold_share until then
-    double cold_share = 1;
+    Micros warm_from{0};     // until cold_time after that its capacity rises
+    Micros down_until{0};    // a connect fails after 250 ms
+    double worst_share = 0;  // of what it stands in a span of fall_after, as sent so far
+    std::deque<std::pair<Micros, Micros>> lately;  // when and how much came within fall_after
     int running = 0;
     std::deque<std::function<void()>> queue;
-    std::map<std::int64_t, Micros> sent_by_second;  // hinted work that reached it
     Micros work_done{0};
   };
   struct Totals {
@@ -161,7 +162,9 @@
     total().sends += 1;
     links.emplace(i, action.worker);
     Worker& worker = workers.at(action.worker);
-    worker.sent_by_second[second()] += asked.work;
+    if (now < worker.down_until)
+      return later(now + 250ms, i, Outcome{action.id, number, Status::connect_failed, 250ms, false, {}});
+    note_sent(worker, asked.work);
     if (worker.running < worker.cores) return run(i, action.id, number, worker);
     if (worker.queue.size() >= worker.queue_room) {
       total().full += 1;
@@ -169,15 +172,37 @@
     }
     worker.queue.push_back([this, i, id = action.id, number, &worker] { run(i, id, number, worker); });
   }
+  void act(int i, const Probe& action) {
+    const Worker& worker = workers.at(action.worker);
+    LoadReport report;
+    report.free_slots = worker.cores - worker.running;
+    report.queue = static_cast<double>(worker.queue.size());
+    later(now + 1ms, i, ProbeResult{action.worker, Status::ok, report});
+  }
   template <class Unused>
   void act(int, const Unused&) {}
 
+  double share_of(const Worker& worker) const {
+    if (worker.warm_from.count() == 0) return 1;
+    const double age = static_cast<double>((now - worker.warm_from).count()) /
+                       static_cast<double>(settings.cold_time.count());
+    return settings.start_capacity + (1 - settings.start_capacity) * std::clamp(age, 0.0, 1.0);
+  }
+  void note_sent(Worker& worker, Micros work) {
+    worker.lately.emplace_back(now, work);
+    while (worker.lately.front().first + settings.fall_after < now) worker.lately.pop_front();
+    double sum = 0;
+    for (const auto& [when, one] : worker.lately) sum += static_cast<double>(one.count());
+    const double stands = settings.fall_multiple * worker.cores * share_of(worker) *
+                          static_cast<double>(settings.fall_after.count());
+    if (share_of(worker) < 1) worker.worst_share = std::max(worker.worst_share, sum / stands);
+  }
+
   void run(int i, const std::string& id, int number, Worker& worker) {
     worker.running += 1;
     later(now, i, JobStarted{id, number});
     const Asked asked = asked_.at(id);
-    const double pace = now < worker.cold_until ? 1 / worker.cold_share : 1;
-    const Micros took{static_cast<std::int64_t>(static_cast<double>(asked.work.count()) * pace)};
+    const Micros took{static_cast<std::int64_t>(static_cast<double>(asked.work.count()) / share_of(worker))};
     at(now + took, [this, i, id, number, &worker, asked, took] {
       worker.running -= 1;
       worker.work_done += asked.work;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -8,6 +8,9 @@
   Settings s = asking_settings(10s);
   s.classes[0].aim = 400ms;
   s.classes[0].deadline = 8s;
+  s.fall_multiple = 3;
+  s.start_capacity = 0.12;
+  s.may_probe = true;
   return s;
 }
 
@@ -61,5 +64,53 @@
   EXPECT_LT(seen.late, seen.in_time / 2) << "in time " << seen.in_time << " refused " << seen.refused;
 }
 
+// Six in ten workers are replaced. No dispatcher ever has two jobs at one of them, so none learns by its own
+// jobs how many cores they have: at one core each, the new ones stood idle while the others refused.
+TEST(Fleet, ReplacedWorkersCarryTheirShareAndNoneIsPushedOver) {
+  Fleet fleet(fleet_settings(), 100, 8);
+  for (int i = 0; i < 60; ++i) fleet.workers["w" + std::to_string(i)].entry = host(i, i % 2 ? "a" : "b");
+  for (int i = 0; i < 100; ++i) fleet.start(i);
+  for (int i = 0; i < 100; ++i) fleet.load(i, 1.7, 700ms, 30s);
+  fleet.run_until(12s);
+  std::vector<ListEntry> changes;
+  for (int i = 0; i < 36; ++i) {
+    Fleet::Worker& old = fleet.workers["w" + std::to_string(i)];
+    old.entry.state = WorkerState::gone;
+    changes.push_back(old.entry);
+    Fleet::Worker& fresh = fleet.workers["n" + std::to_string(i)];
+    fresh.entry = host(i, i % 2 ? "a" : "b");
+    fresh.entry.worker = "n" + std::to_string(i);
+    fresh.entry.started = fresh.warm_from = fleet.now;
+    changes.push_back(fresh.entry);
+  }
+  fleet.tell(changes);
+  fleet.run_until(30s);
+  double done = 0, worst = 0;
+  for (const auto& [name, worker] : fleet.workers)
+    if (worker.warm_from.count() > 0)
+      done += std::chrono::duration<double>(worker.work_done).count(),
+          worst = std::max(worst, worker.worst_share);
+  // From 12 to 100 % of 3 cores over 20 s, for 18 s: 29 s of work each.
+  EXPECT_GT(done, 36 * 29 * 0.33) << "seconds of work of the " << 36 * 29 << " that they could do";
+  EXPECT_LT(worst, 1);
+}
+
+// A zone is lost for 6 s and comes back cold, and nobody is told: 100 dispatchers that each try it with a job
+// or two push over all of it at once.
+TEST(Fleet, AZoneThatComesBackIsNotPushedOverBeforeTheListTells) {
+  Fleet fleet(fleet_settings(), 100, 9);
+  for (int i = 0; i < 60; ++i) fleet.workers["w" + std::to_string(i)].entry = host(i, i % 2 ? "a" : "b");
+  for (int i = 0; i < 100; ++i) fleet.start(i);
+  for (int i = 0; i < 100; ++i) fleet.load(i, 1.7, 700ms, 22s);
+  fleet.run_until(12s);
+  for (int i = 1; i < 60; i += 2)
+    fleet.workers["w" + std::to_string(i)].down_until = fleet.workers["w" + std::to_string(i)].warm_from =
+        18s;
+  fleet.run_until(22s);
+  double sum = 0;
+  for (const auto& [name, worker] : fleet.workers) sum += worker.worst_share;
+  EXPECT_LT(sum / 30, 1.5) << "of what each stands, on average; 1 would be none too much";
+}
+
 }  // namespace
 }  // namespace woadtide
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -573,6 +573,24 @@
   CHECK(bench.sent == 1);  // what was written whole, and no probe
 }
 
+TEST_CASE("a probe over a link that is kept brings the worker's report, and the link serves on") {
+  Bench bench("Ready");
+  bench.start("q");
+  Peer link = bench.worker.accept();
+  link.message();
+  link.write(done("q", "ok"));
+  CHECK(std::holds_alternative<core::ExecutionStarted>(bench.next()));
+  CHECK(bench.ending() == Status::ok);
+  bench.servers.probe("w");
+  CHECK(starts(link.message(), "GET /stats HTTP/1.1"));
+  link.write("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nx0=2,waiting=0");
+  const auto probed = std::get<core::ProbeEnded>(bench.next());
+  CHECK(probed.status == Status::ok);
+  CHECK(probed.report == "x0=2,waiting=0");
+  bench.start("r");
+  CHECK(link.message().ends_with("pay"));
+}
+
 TEST_CASE("a cancelled execution ends as cancelled and its link is closed") {
   Bench bench("Ready");
   bench.start("q");
