--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -245,7 +245,7 @@
     shared_used_ = std::max(out, 0.9 * shared_used_);
     if (late) shared_limit_ = std::min(shared_limit_, shared_used_) - kSharedCut * step;
     if (!late && 2 * out >= shared_limit_) shared_limit_ += kSharedRise * step;
-    shared_limit_ = std::clamp(shared_limit_, std::min(2.0, kFirstShare / settings_.dispatchers), kMaxLimit);
+    shared_limit_ = std::clamp(shared_limit_, 3 * kFirstShare / settings_.dispatchers, kMaxLimit);
   }
 
   static void update_limit(Limiter& own, double slots) {
