--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -33,7 +33,7 @@
 constexpr double kWaitWeight = 2;   // a wait seen is mostly the work of peers, which nothing else shows
 constexpr double kPickNoise = 0.1;  // spread of pick scores: peers with the same news part ways
 constexpr double kSameDraw = 0.8;   // of a draw: each compares much the same workers, over links that it has
-constexpr double kWorthier = 1.2;   // slots over the shared limit that a job of far more worth may go
+constexpr double kWorthier = 2;     // slots over the shared limit that a job of far more worth may go
 constexpr double kComparers = 16;   // dispatchers that compare the same worker at once, on average
 constexpr double kSharedCut = 0.35, kSharedRise = 0.19;  // slots, for each late start and each in time
 constexpr double kTurnMargin = 0.5;  // of what a cold worker stands: jobs are uneven and turns may touch
