Say shared steps of the fleet's and links' tests once, and clear what they no longer use

Read again as a whole. The fleet's model kept two maps that nobody read, and its reports left out what a worker serves, so that cores were taken too low there.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -559,8 +559,8 @@
       worker.limiter.timeout_seen = true;
     if (status == Status::connect_failed || status == Status::reset) worker.link_failures += 1;
     if (status == Status::connect_failed) note_link(worker.entry.zone, false);
-    // A full worker has the least of our work and would draw every next job before one of its own can end.
     if (status == Status::full) count_shared(worker, attempt, true);
+    // A full worker has the least of our work and would draw every next job before one of its own can end.
     if (status == Status::full) worker.full_until = now_ + scaled(seconds_span(mean_load_), spread());
     if (status == Status::ok) return observe_ok(worker, job, attempt);
     if (status == Status::full || status == Status::moot) return;
--- a/src/core/load_report.cpp
+++ b/src/core/load_report.cpp
@@ -1,7 +1,7 @@
 #include "core/load_report.hpp"
 
+#include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "wire.hpp"
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -41,10 +41,9 @@
   Micros call_time{60ms}, call_patience{2s};  // discovery: one call at a time, each costs that much
   bool discovery_up = true;
   std::map<std::string, Worker> workers;
-  std::map<std::int64_t, Totals> totals;              // by second
-  std::map<std::int64_t, int> calls, calls_served;    // by second
-  std::set<std::pair<int, std::string>> links;        // dispatcher and worker that met
-  std::vector<std::set<std::string>> listening = {};  // not empty: subscribed
+  std::map<std::int64_t, Totals> totals;        // by second
+  std::map<std::int64_t, int> calls;            // by second
+  std::set<std::pair<int, std::string>> links;  // dispatcher and worker that met
 
   Fleet(Settings base, int dispatchers, std::uint64_t seed) : settings(std::move(base)), random_(seed) {
     settings.dispatchers = dispatchers;
@@ -71,7 +70,6 @@
     node.dispatcher.emplace(own, random_());
     feed(i, ListUpdate{ListKind::remembered, list()});
   }
-  bool is_subscribed(int i) const { return nodes_[static_cast<std::size_t>(i)].subscribed; }
   int subscribed() const {
     return static_cast<int>(
         std::count_if(nodes_.begin(), nodes_.end(), [](auto& n) { return n.subscribed; }));
@@ -79,7 +77,7 @@
   // Tells all that are subscribed.
   void tell(const std::vector<ListEntry>& changes) {
     for (int i = 0; i < settings.dispatchers; ++i)
-      if (is_subscribed(i)) feed(i, ListUpdate{ListKind::changes, changes});
+      if (nodes_[static_cast<std::size_t>(i)].subscribed) feed(i, ListUpdate{ListKind::changes, changes});
   }
   std::vector<ListEntry> list() const {
     std::vector<ListEntry> entries;
@@ -158,7 +156,6 @@
       Node& node = nodes_[static_cast<std::size_t>(i)];
       if (node.life != life) return;
       node.subscribed = !fails;
-      if (!fails) calls_served[second()] += 1;
       feed(i,
            ListUpdate{fails ? ListKind::failed : ListKind::full, fails ? std::vector<ListEntry>{} : list()});
     });
@@ -184,6 +181,8 @@
     LoadReport report;
     report.free_slots = worker.cores - worker.running;
     report.queue = static_cast<double>(worker.queue.size());
+    report.served_per_s = worker.running + *report.queue;
+    report.latency_s = 1;
     later(now + 1ms, i, ProbeResult{action.worker, Status::ok, report});
   }
   template <class Unused>
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -20,6 +20,12 @@
   return e;
 }
 
+// 60 workers of 3 cores in two zones, which do 257 jobs of 0.7 s in a second, and all dispatchers.
+void start_at_sixty(Fleet& fleet) {
+  for (int i = 0; i < 60; ++i) fleet.workers["w" + std::to_string(i)].entry = host(i, i % 2 ? "a" : "b");
+  for (int i = 0; i < fleet.settings.dispatchers; ++i) fleet.start(i);
+}
+
 // Discovery takes 60 ms for a call and works on those that gave up after 2 s too: a hundred calls at once are
 // 6 s of work, and whoever asks again within that time keeps it full for good.
 TEST(Fleet, ARestartOfMostLeavesDiscoveryRoomToAnswer) {
@@ -54,9 +60,7 @@
 // as much again as the fleet can do, what is taken must still be in time, and the rest refused.
 TEST(Fleet, OverloadIsRefusedThoughNobodySeesMuchOfIt) {
   Fleet fleet(fleet_settings(), 100, 7);
-  for (int i = 0; i < 60; ++i) fleet.workers["w" + std::to_string(i)].entry = host(i, i % 2 ? "a" : "b");
-  for (int i = 0; i < 100; ++i) fleet.start(i);
-  // 60 workers of 3 cores do 257 jobs of 0.7 s in a second.
+  start_at_sixty(fleet);
   for (int i = 0; i < 100; ++i) fleet.load(i, 3.86, 700ms, 25s);
   fleet.run_until(25s);
   const Fleet::Totals seen = fleet.sum(10, 25);
@@ -68,8 +72,7 @@
 // compares much the same twenty, and still each worker is known to many.
 TEST(Fleet, EachMeetsAFewWorkersAndEachWorkerMany) {
   Fleet fleet(fleet_settings(), 100, 10);
-  for (int i = 0; i < 60; ++i) fleet.workers["w" + std::to_string(i)].entry = host(i, i % 2 ? "a" : "b");
-  for (int i = 0; i < 100; ++i) fleet.start(i);
+  start_at_sixty(fleet);
   for (int i = 0; i < 100; ++i) fleet.load(i, 1.7, 700ms, 30s);
   fleet.run_until(30s);
   EXPECT_LT(fleet.links.size(), 100u * 26) << "of " << fleet.sum(0, 30).sends << " sends";
@@ -87,8 +90,7 @@
   settings.classes[1].deadline = 8s;
   settings.classes[1].worth = 2.5;
   Fleet fleet(settings, 100, 11);
-  for (int i = 0; i < 60; ++i) fleet.workers["w" + std::to_string(i)].entry = host(i, i % 2 ? "a" : "b");
-  for (int i = 0; i < 100; ++i) fleet.start(i);
+  start_at_sixty(fleet);
   for (int i = 0; i < 100; ++i) fleet.load(i, 1.93, 700ms, 25s), fleet.load(i, 1.93, 700ms, 25s, 1);
   fleet.run_until(25s);
   Fleet::Totals seen = fleet.sum(10, 25);
@@ -99,8 +101,7 @@
 // jobs how many cores they have: at one core each, the new ones stood idle while the others refused.
 TEST(Fleet, ReplacedWorkersCarryTheirShareAndNoneIsPushedOver) {
   Fleet fleet(fleet_settings(), 100, 8);
-  for (int i = 0; i < 60; ++i) fleet.workers["w" + std::to_string(i)].entry = host(i, i % 2 ? "a" : "b");
-  for (int i = 0; i < 100; ++i) fleet.start(i);
+  start_at_sixty(fleet);
   for (int i = 0; i < 100; ++i) fleet.load(i, 1.7, 700ms, 30s);
   fleet.run_until(12s);
   std::vector<ListEntry> changes;
@@ -130,8 +131,7 @@
 // or two push over all of it at once.
 TEST(Fleet, AZoneThatComesBackIsNotPushedOverBeforeTheListTells) {
   Fleet fleet(fleet_settings(), 100, 9);
-  for (int i = 0; i < 60; ++i) fleet.workers["w" + std::to_string(i)].entry = host(i, i % 2 ? "a" : "b");
-  for (int i = 0; i < 100; ++i) fleet.start(i);
+  start_at_sixty(fleet);
   for (int i = 0; i < 100; ++i) fleet.load(i, 1.7, 700ms, 22s);
   fleet.run_until(12s);
   for (int i = 1; i < 60; i += 2)
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -501,6 +501,16 @@
     servers.start(std::move(execution));
   }
   Status ending() { return std::get<core::ExecutionEnded>(next()).status; }
+  // A link that has served one execution and is kept.
+  Peer kept_link() {
+    start("q");
+    Peer link = worker.accept();
+    link.message();
+    link.write(done("q", "ok"));
+    CHECK(std::holds_alternative<core::ExecutionStarted>(next()));
+    CHECK(ending() == Status::ok);
+    return link;
+  }
 
   Port worker, discovery;
   core::Clock clock;
@@ -534,12 +544,7 @@
   CHECK(pool.take(0, front.clock));
 
   Bench bench("Ready");
-  bench.start("q");
-  Peer link = bench.worker.accept();
-  link.message();
-  link.write(done("q", "ok"));
-  CHECK(std::holds_alternative<core::ExecutionStarted>(bench.next()));
-  CHECK(bench.ending() == Status::ok);
+  Peer link = bench.kept_link();
   bench.servers.set_most(0);
   CHECK(link.closed());
 }
@@ -575,12 +580,7 @@
 
 TEST_CASE("a probe over a link that is kept brings the worker's report, and the link serves on") {
   Bench bench("Ready");
-  bench.start("q");
-  Peer link = bench.worker.accept();
-  link.message();
-  link.write(done("q", "ok"));
-  CHECK(std::holds_alternative<core::ExecutionStarted>(bench.next()));
-  CHECK(bench.ending() == Status::ok);
+  Peer link = bench.kept_link();
   bench.servers.probe("w");
   CHECK(starts(link.message(), "GET /stats HTTP/1.1"));
   link.write("HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nx0=2,waiting=0");
