Tell a waiting client of its place as a link falls idle, and read workers' lines without a tree

Seen: with all client links at work a new client waits in the machine's queue; since links are parked it was looked for again only when a link ended, not when one fell idle and could give way. Found by writing the story "new links wait where all have a query at work", which hung; the line at fault was in ClientLinks::put, which told nobody. The acceptor's own look every 5 ms had hidden this need before; it is not taken back, as it costs a dispatcher that stands full 200 wake-ups a second.

--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -141,7 +141,6 @@
     at_work_ = true;
     links_.put(*this, Standing::busy);
   }
-  side_.park.wake_at(token_, park::Park::kNever);
   auto errand = side_.front.take(shared_from_this(), reader_.take());
   {
     const std::lock_guard lock(*mutex_);
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -111,6 +111,11 @@
   at(standing).splice(at(standing).end(), at(link.standing_), link.place_);
   link.standing_ = standing;
   link.moved_ = side_.clock.now();
+  if (standing != Standing::busy) tell_waiting();  // it can give way now
+}
+
+void ClientLinks::tell_waiting() {
+  if (std::exchange(waits_, false)) side_.park.poke(looks_, {});
 }
 
 void ClientLinks::leave(ClientLink& link) {
@@ -124,7 +129,7 @@
 
 void ClientLinks::drop(ClientLink& link) {
   if (std::exchange(link.over_, true)) return;
-  if (std::exchange(waits_, false)) side_.park.poke(looks_, {});
+  tell_waiting();
   link.errand_.reset();
   side_.park.leave(link.token_);
   at(link.standing_).erase(link.place_);
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -51,6 +51,7 @@
   void put(ClientLink& link, Standing standing);
   void leave(ClientLink& link);
   void drop(ClientLink& link);
+  void tell_waiting();
 
   // On the park's thread.
   void ready(park::Signs signs) override;
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -24,6 +24,63 @@
 // and Limits::settle_ms for the worker to act.
 constexpr double kMostRoundsMs = 25;
 
+// Takes what we go by from a worker's line as it is read, without a tree of the rest.
+struct WorkerEvent : nlohmann::json_sax<nlohmann::json> {
+  bool is_object = false;
+  std::string id, state;
+  std::optional<std::string> result;
+
+  bool key(std::string& name) override {
+    wanted_ = depth_ != 1        ? Wanted::none
+              : name == "id"     ? Wanted::id
+              : name == "state"  ? Wanted::state
+              : name == "result" ? Wanted::result
+                                 : Wanted::none;
+    return true;
+  }
+  // Of a key that comes twice the last value counts.
+  bool string(std::string& text) override {
+    if (wanted_ == Wanted::id) id = std::move(text);
+    if (wanted_ == Wanted::state) state = std::move(text);
+    if (wanted_ == Wanted::result) result = std::move(text);
+    wanted_ = Wanted::none;
+    return true;
+  }
+  bool start_object(std::size_t) override {
+    is_object |= depth_ == 0;
+    return start();
+  }
+  bool start_array(std::size_t) override { return start(); }
+  bool end_object() override { return --depth_, true; }
+  bool end_array() override { return --depth_, true; }
+  bool null() override { return other(); }
+  bool boolean(bool) override { return other(); }
+  bool number_integer(number_integer_t) override { return other(); }
+  bool number_unsigned(number_unsigned_t) override { return other(); }
+  bool number_float(number_float_t, const std::string&) override { return other(); }
+  bool binary(binary_t&) override { return other(); }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  enum class Wanted { none, id, state, result };
+  bool start() {
+    depth_ += 1;
+    return other();
+  }
+  // What is no text is none of ours.
+  bool other() {
+    if (wanted_ == Wanted::id) id.clear();
+    if (wanted_ == Wanted::state) state.clear();
+    if (wanted_ == Wanted::result) result.reset();
+    wanted_ = Wanted::none;
+    return true;
+  }
+  Wanted wanted_ = Wanted::none;
+  int depth_ = 0;
+};
+
 std::string head_for(const core::Execution& execution, const std::string& dial, double left_ms) {
   const core::Parcel& parcel = execution.parcel;
   std::string head;
@@ -394,11 +451,11 @@
     if (got != LineReader::Got::line) return broken(link, Status::reset);
     if (line.empty()) continue;
     if (link.task.probe) return Ending{Status::ok, std::move(line)};
-    const nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
+    WorkerEvent event;
     // Another query's result must not reach this client.
-    if (!event.is_object() || event.value("id", nlohmann::json()) != key.query)
+    if (!nlohmann::json::sax_parse(line, &event) || !event.is_object || event.id != key.query)
       throw BadMessage(400, "not an event of this execution");
-    const nlohmann::json state = event.value("state", nlohmann::json());
+    const std::string& state = event.state;
     // With the ending right behind it, the loop is woken once for both.
     const auto call = link.lines->has_line() ? core::Inbox::Call::with_next : core::Inbox::Call::now;
     if (state == "started") inbox_.put_hint(core::ExecutionStarted{key}, call);
@@ -407,9 +464,8 @@
     if (state == "returned") return Ending{Status::full};
     if (state == "lost") return Ending{Status::reset};
     if (state != "done") continue;
-    const nlohmann::json result = event.value("result", nlohmann::json());
-    if (!result.is_string()) throw BadMessage(400, "a result is not text");
-    return Ending{Status::ok, result.get<std::string>()};
+    if (!event.result) throw BadMessage(400, "a result is not text");
+    return Ending{Status::ok, std::move(*event.result)};
   }
 }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -799,6 +799,22 @@
   CHECK(front.links->open() == 0);
 }
 
+// Guards new clients at the edge: nobody looks for a place again by the clock.
+TEST_CASE("new links wait where all have a query at work, and the first that falls idle gives way") {
+  Front front(1);
+  Peer first = Peer::to(front.port), second = Peer::to(front.port);
+  first.write(query_text("a", "refund-payout"));
+  auto asker = front.next<core::QueryArrived>().asker;
+  second.write("GET /health/live HTTP/1.1\r\n\r\n");
+  std::exchange(asker, nullptr)->answer({core::AnswerKind::served, "one"});
+  CHECK(first.message().ends_with("one"));
+  CHECK(second.message().ends_with("ready\n"));
+  CHECK(first.closed());
+  Peer third = Peer::to(front.port);
+  third.write("GET /health/live HTTP/1.1\r\n\r\n");
+  CHECK(third.message().ends_with("ready\n"));
+}
+
 // Guards clients that send their next query before they have read the last answer.
 TEST_CASE("a query that comes behind one at work is taken once that is answered") {
   Front front(8);
--- a/tests/park_test.cpp
+++ b/tests/park_test.cpp
@@ -143,16 +143,16 @@
   holds.fd = gate.here.get();
   Park park(clock);
   std::promise<void> entered, go;
-  const auto place = park.enter(guest, pair.here.get()), held = park.enter(holds, gate.here.get());
-  await([&] { return park.guests() == 2; });
+  std::atomic<Park::Token> place{Park::kNone};
   holds.then = [&, first = true]() mutable {
     if (!std::exchange(first, false)) return;
     entered.set_value();
     go.get_future().wait();
   };
-  guest.then = [&] {
-    if (guest.order.ends_with('r')) park.wake_at(place, kNow + 500);
-  };
+  guest.then = [&] { park.wake_at(place, kNow + 500); };
+  place = park.enter(guest, pair.here.get());
+  const auto held = park.enter(holds, gate.here.get());
+  park.quiesce();
   gate.write();  // while one call runs, both come to be
   entered.get_future().wait();
   park.wake_at(place, kNow + 10);
@@ -162,7 +162,7 @@
   await([&] { return guest.reads == 1; });
   park.quiesce();
   CHECK(guest.lates == 0);
-  for (const auto token : {place, held}) park.leave(token);
+  for (const Park::Token token : {place.load(), held}) park.leave(token);
   park.quiesce();
 }
 
