End all client links safely in the midst of accepts, and take none over the bound

Seen: repeated runs of the network stories under the thread sanitizer (2 of 8) and plain (1 of 15). First, a use after free of the list of client links: ClientLinks::stop() dropped all links while a look at the listener was running, which then put one more into the list; and a link that was being read stood itself anew (ClientLinks::put) after it had been dropped. Second, a link too many at the edge: make_room() found nobody waiting, said that there was room, and accept4 took one that had come in between, so no link gave way.

Now stop() waits for the look before it drops, what was dropped stands nowhere, and at the bound nobody is taken whom the look has not seen; the second address' listener had the same gap.

--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -44,6 +44,7 @@
 void ClientLinks::stop() {
   side_.park.leave(listens_);
   side_.park.leave(looks_);
+  side_.park.quiesce();  // a look that runs may still accept
   {
     const std::lock_guard lock(*mutex_);
     for (Links& links : links_)
@@ -107,7 +108,9 @@
 
 // Where links stand, under the mutex ---------------------------------------------------------------------
 
+// What has just been read of a link may be of one that stop() has dropped meanwhile.
 void ClientLinks::put(ClientLink& link, Standing standing) {
+  if (link.over_) return;
   at(standing).splice(at(standing).end(), at(link.standing_), link.place_);
   link.standing_ = standing;
   link.moved_ = side_.clock.now();
@@ -119,6 +122,7 @@
 }
 
 void ClientLinks::leave(ClientLink& link) {
+  if (link.over_) return;
   link.socket_.shut(SHUT_WR);
   link.at_work_ = false;
   link.until_ = side_.clock.now() + kLastWordMs;
@@ -156,7 +160,8 @@
   Accepted accepted = left_to_other_ ? Accepted::none : Accepted::one;
   for (int left = kAtOnce; left > 0 && accepted == Accepted::one; --left) {
     if (last && last_accepts_-- == 0) accepted = Accepted::none;
-    if (accepted == Accepted::one) accepted = make_room() ? accept_one() : Accepted::full;
+    if (accepted == Accepted::one) accepted = make_room();
+    if (accepted == Accepted::one) accepted = accept_one();
   }
   if (accepted == Accepted::later) side_.park.wake_at(looks_, side_.clock.now() + kFullMs);
   if (accepted == Accepted::one) side_.park.poke(looks_, {});
@@ -226,20 +231,21 @@
   return Accepted::one;
 }
 
-// False where all links have a query at work: new ones wait. At the edge links go first that asked for health
-// at some time and stayed, then those that are silent and never completed a query: clients that connect by
-// the hundred and say nothing, or half a head, must not push out those that are served, nor those whose query
-// is coming in. Then served ones, longest idle first.
-bool ClientLinks::make_room() {
+// Accepted::one where there is room, full where all links have a query at work: new ones wait. At the edge
+// links go first that asked for health at some time and stayed, then those that are silent and never
+// completed a query: clients that connect by the hundred and say nothing, or half a head, must not push out
+// those that are served, nor those whose query is coming in. Then served ones, longest idle first.
+ClientLinks::Accepted ClientLinks::make_room() {
   const std::lock_guard lock(*mutex_);
-  // Nobody gives way before somebody waits.
-  if (open_here() < most_ || wait_for(listener_.fd(), POLLIN, -1, 0, side_.clock).first == 0) return true;
+  if (open_here() < most_) return Accepted::one;
+  // Nobody gives way before somebody waits; nor is one that comes behind this look taken without a place.
+  if (wait_for(listener_.fd(), POLLIN, -1, 0, side_.clock).first == 0) return Accepted::none;
   if (all_open_.due(side_.clock.now()))
     core::log_line("acceptor: all " + std::to_string(most_) + " client links are open, " +
                    std::to_string(at(Standing::fresh).size() + at(Standing::reading).size()) + " unserved, " +
                    std::to_string(at(Standing::asked).size() + at(Standing::idle).size()) + " idle");
   waits_ = !shed_one() || open_here() >= most_;
-  return !waits_;
+  return waits_ ? Accepted::full : Accepted::one;
 }
 
 bool ClientLinks::shed_one() {
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -63,7 +63,7 @@
   void refuse_half();
   enum class Accepted { one, none, full, later };
   Accepted accept_one();
-  bool make_room();
+  Accepted make_room();
   ClientLink* unserved(double moved_before);
   bool shed_one();
   std::size_t open_here() const;
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -66,12 +66,13 @@
   return true;
 }
 
-// False where all places are taken. Then the oldest one that is owed no answer gives way: some keep a link
-// for seconds and say nothing whole, and the next call must not wait for them.
+// False where all places are taken, or nobody waits for one. Where one does, the oldest one that is owed no
+// answer gives way: some keep a link for seconds and say nothing whole, and the next call must not wait for
+// them.
 bool Management::make_room() {
   const std::lock_guard lock(mutex_);
-  if (callers_.size() < kMostCallers || wait_for(listener_.fd(), POLLIN, -1, 0, clock_).first == 0)
-    return true;
+  if (callers_.size() < kMostCallers) return true;
+  if (wait_for(listener_.fd(), POLLIN, -1, 0, clock_).first == 0) return false;
   crowds_ = true;
   if (crowded_.due(clock_.now())) core::log_line("management: more callers than places");
   const auto shed =
