Read a link that floods a turn at a time, so that one peer cannot hold the thread of all

Seen: one thread reads for all links, and a link was read until it would block. A peer that sends as fast as it is read (trailers without end, lines of a watch, bytes behind an answer) kept that thread: six such clients held up every other link and every deadline. Lines at fault: the loops of ClientLink::take_bytes and take_rest and Intake::more without a bound.

Change: at most 8 buffers of a link in a turn (kReadsAtOnce), then others have theirs; it goes on after 5 ms, or with its next bytes. take_rest() goes on by a poke until its time is over. The words on time of the same meaning stand once (kGoOnMs for kNoBufferMs in three files, kLate). The measurements' readers of /proc stand once, in bench/proc.hpp.

Checked: the story fails with the bound taken away (1 << 30), hangs or runs out of its 10 s.

--- a/bench/plain_bench.cpp
+++ b/bench/plain_bench.cpp
@@ -26,6 +26,7 @@
 #include <thread>
 #include <vector>
 
+#include "bench/proc.hpp"
 #include "lab/config_json.hpp"
 #include "lab/discovery.hpp"
 #include "lab/job_client.hpp"
@@ -77,12 +78,8 @@
 Spent spent(pid_t pid) {
   Spent sum;
   const std::string proc = "/proc/" + std::to_string(pid);
-  std::ifstream stat(proc + "/stat");
-  std::string word, line;
-  long ticks = 0;
-  for (int i = 1; i <= 15 && stat >> word; ++i)
-    if (i >= 14) ticks += std::stol(word);
-  sum.cpu_us = static_cast<double>(ticks) * 1e6 / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  sum.cpu_us = bench::cpu_us(pid);
+  std::string line;
   for (const auto& task : fs::directory_iterator(proc + "/task")) {
     std::ifstream status(task.path() / "status");
     while (std::getline(status, line))
@@ -92,14 +89,6 @@
   return sum;
 }
 
-std::string status_line(pid_t pid, const std::string& name) {
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  std::string line;
-  while (std::getline(status, line))
-    if (line.starts_with(name + ":")) return line.substr(line.find_first_not_of(" \t", name.size() + 1));
-  return {};
-}
-
 std::string query(const std::string& id, int budget_ms, std::size_t body) {
   return "POST /api HTTP/1.1\r\nX-Call-Id: " + id +
          "\r\nX-Call-Class: receipt-check\r\nX-Budget: " + std::to_string(budget_ms) +
@@ -194,8 +183,8 @@
     std::printf(
         "%s, %d queries and %d silent links: %d of them not answered, %s threads, resident %s, %td "
         "descriptors\n",
-        program.c_str(), work, silent, at_work, status_line(process.pid(), "Threads").c_str(),
-        status_line(process.pid(), "VmRSS").c_str(), std::distance(begin(files), end(files)));
+        program.c_str(), work, silent, at_work, bench::status_line(process.pid(), "Threads").c_str(),
+        bench::status_line(process.pid(), "VmRSS").c_str(), std::distance(begin(files), end(files)));
   }
   return 0;
 }
--- a/bench/threads_probe.cpp
+++ b/bench/threads_probe.cpp
@@ -21,7 +21,6 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,6 +31,7 @@
 #include <utility>
 #include <vector>
 
+#include "bench/proc.hpp"
 #include "park/park.hpp"
 
 namespace {
@@ -213,22 +213,6 @@
   }
 }
 
-double cpu_us(pid_t pid) {
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-  std::string word;
-  long ticks = 0;
-  for (int i = 1; i <= 15 && stat >> word; ++i)
-    if (i >= 14) ticks += std::stol(word);
-  return static_cast<double>(ticks) * 1e6 / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-std::string status_line(pid_t pid, const std::string& name) {
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  std::string line;
-  while (std::getline(status, line))
-    if (line.starts_with(name + ":")) return line.substr(line.find_first_not_of(" \t", name.size() + 1));
-  return {};
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -277,10 +261,11 @@
     });
   ::usleep(500'000);
   counts = true;
-  const double before = cpu_us(relay);
+  const double before = bench::cpu_us(relay);
   ::usleep(kMs * 1'000);
-  const double spent = cpu_us(relay) - before;
-  const std::string threads = status_line(relay, "Threads"), resident = status_line(relay, "VmRSS");
+  const double spent = bench::cpu_us(relay) - before;
+  const std::string threads = bench::status_line(relay, "Threads"),
+                    resident = bench::status_line(relay, "VmRSS");
   over = true;
   for (auto& client : clients) client.join();
   std::sort(all.begin(), all.end());
--- a/src/net/buffer_pool.hpp
+++ b/src/net/buffer_pool.hpp
@@ -19,6 +19,10 @@
 constexpr std::size_t kMostBody = 64 * 1024;
 constexpr std::size_t kBufferBytes = 16 * 1024;
 static_assert(kBufferBytes > kMostHead);
+// On the park's thread: how many buffers of one link are read before others have their turn, the largest
+// message and some; and when one goes on that had to stop, for others or for want of a buffer.
+constexpr int kReadsAtOnce = 8;
+constexpr double kGoOnMs = 5;
 
 class BufferPool;
 
--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -11,11 +11,8 @@
 namespace woadtide::net {
 
 namespace {
-// For the word on what is wrong, and for what still comes behind it. With first_ms it keeps what a client
-// that sends nothing good is owed, an error or a close in 3 s, and leaves something for a late accept.
-constexpr double kLastWordMs = 500;
-constexpr double kNoBufferMs = 5;  // before another look, where no buffer can be had
-}  // namespace
+const BadMessage kLate(408, "the rest did not come");
+}
 
 ClientLink::ClientLink(Socket socket, ClientSide& side, ClientLinks& links)
     : side_(side),
@@ -76,7 +73,7 @@
 
 bool ClientLink::take_bytes() {
   bool came = false;
-  for (;;) {
+  for (int reads = 0;; ++reads) {
     const double now = side_.clock.now();
     // Some come in pieces, for seconds. But one that has stopped must not hold a place and a buffer, nor may
     // a byte now and then hold them for good.
@@ -87,9 +84,9 @@
     }
     const bool rest = reader_.has_rest();
     const std::span<char> room = reader_.room();
-    if (room.empty()) {
-      if (now >= until_) throw BadMessage(503, "no memory for it now");
-      side_.park.wake_at(token_, std::min(now + kNoBufferMs, until_));
+    if (room.empty() || reads == kReadsAtOnce) {
+      if (now >= until_) throw room.empty() ? BadMessage(503, "no memory for it now") : kLate;
+      go_on_at(std::min(now + kGoOnMs, until_), came);
       return false;
     }
     if (rest && reader_.came(0)) return true;
@@ -127,8 +124,12 @@
     side_.park.wake_at(token_, served_ ? moved_ + side_.idle_ms : until_);
     return;
   }
-  if (now >= until_) throw BadMessage(408, "the rest did not come");
-  side_.park.wake_at(token_, until_);
+  if (now >= until_) throw kLate;
+  go_on_at(until_, came);
+}
+
+void ClientLink::go_on_at(double when, bool came) {
+  side_.park.wake_at(token_, when);
   if (!came) return;
   const std::lock_guard lock(*mutex_);
   links_.put(*this, served_ ? Standing::busy : Standing::reading);
@@ -223,10 +224,12 @@
   std::array<char, 4096> rest{};
   std::size_t got = 0;
   Io io = Io::done;
-  while (io == Io::done && side_.clock.now() < until_) io = socket_.receive(rest.data(), rest.size(), got);
+  for (int reads = 0; io == Io::done && reads < kReadsAtOnce; ++reads)
+    io = socket_.receive(rest.data(), rest.size(), got);
   if (io == Io::late) return;
   const std::lock_guard lock(*mutex_);
-  links_.drop(*this);
+  if (io != Io::done || side_.clock.now() >= until_) return links_.drop(*this);
+  side_.park.poke(token_, {.readable = true});
 }
 
 }  // namespace woadtide::net
--- a/src/net/client_link.hpp
+++ b/src/net/client_link.hpp
@@ -77,6 +77,7 @@
   bool take_bytes();
   void hand_over();
   void await_more(double now, bool came);
+  void go_on_at(double when, bool came);
   void write_on();
   void sent(bool closes, bool worked);
   void reject(int status, std::string_view why);
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -22,7 +22,9 @@
 constexpr double kFrontMs = 400;
 constexpr double kLastFirstMs = 1'500;  // then a link that has not brought its first query goes too
 constexpr double kFirstMs = 500;        // but for those that have just come, as health checks do
-constexpr double kLastWordMs = 500;     // for a client to close behind the last word to it
+// For a client to close behind the last word to it. With first_ms it keeps what a client that sends nothing
+// good is owed, an error or a close in 3 s, and leaves something for a late accept.
+constexpr double kLastWordMs = 500;
 }  // namespace
 
 ClientLinks::ClientLinks(Socket listener, std::size_t most, ClientSide& side)
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -12,8 +12,7 @@
 using woadtide::WorkerState;
 
 namespace {
-constexpr double kAgainMs = 50;    // where no thread can be had to open a watch
-constexpr double kNoBufferMs = 5;  // before another look, where no buffer can be had
+constexpr double kAgainMs = 50;  // where no thread can be had to open a watch
 }  // namespace
 
 HostGroup::HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
@@ -112,7 +111,7 @@
   if (stopping_ || !intake_) return;
   try {
     hear();
-    park_.wake_at(watch_, clock_.now() + (intake_->starved() ? kNoBufferMs : silence_ms_));
+    park_.wake_at(watch_, clock_.now() + (intake_->starved() ? kGoOnMs : silence_ms_));
   } catch (const std::exception& failed) {
     end(failed.what());
   }
@@ -129,6 +128,7 @@
 
 // Under the mutex, all that has come. A watch lasts until something breaks it: then it throws.
 void HostGroup::hear() {
+  intake_->begin_turn();
   if (!lines_) {
     Io why = Io::done;
     const auto length = intake_->head(Intake::kNoWait, why);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -211,7 +211,8 @@
 
 Io Intake::more(double deadline) {
   const bool waits = deadline != kNoWait;
-  starved_ = false;
+  starved_ = !waits && reads_++ == kReadsAtOnce;
+  if (starved_) return Io::late;
   if (from_ == to_) {
     buffer_.reset();
     from_ = to_ = 0;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -91,7 +91,9 @@
   // Reads on until something comes. Io::broken when the buffer is full.
   Io more(double deadline);
   double now() const { return clock_.now(); }
-  // Late not for want of bytes, but of a buffer for them.
+  // Without waiting it reads kReadsAtOnce times from here on, at most.
+  void begin_turn() { reads_ = 0; }
+  // Late not for want of bytes, but of a buffer for them, or of its turn.
   bool starved() const { return starved_; }
   // A whole head; nullopt when the link ended or time ran out, `why` says which. Throws BadMessage.
   // What has begun to come must go on within `rest_ms` of its last byte.
@@ -104,6 +106,7 @@
   std::optional<Buffer> buffer_;
   std::size_t from_ = 0, to_ = 0;
   bool starved_ = false;
+  int reads_ = 0;  // of this turn
 };
 
 // The lines of an answer's body, as a worker's events and discovery's changes come.
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -15,7 +15,6 @@
 constexpr double kBackstopMs = 2'000;
 // How long the end of a body may come behind its last line before the link is not worth keeping.
 constexpr double kTailMs = 200;
-constexpr double kNoBufferMs = 5;  // before another look, where no buffer can be had
 constexpr double kProbeMs = 1'000;
 // A worker may take its time between two lines, but not in the midst of one: a link that fell quiet there
 // will not bring the result, and a safe query can still be in time elsewhere.
@@ -349,7 +348,7 @@
   const double until = link.task.execution.deadline + kBackstopMs;
   const bool begun = link.lines ? link.lines->begun() : !link.intake->view().empty();
   link.patience = begun ? std::min(until, clock_.now() + kRestMs) : until;
-  park_.wake_at(link.token, link.intake->starved() ? clock_.now() + kNoBufferMs : link.patience);
+  park_.wake_at(link.token, link.intake->starved() ? clock_.now() + kGoOnMs : link.patience);
 }
 
 void ServerLinks::late(Link& link) {
@@ -364,12 +363,13 @@
     link.lines.reset();
     return end(link, broken(link, Status::reset));
   }
-  park_.wake_at(link.token, link.intake->starved() ? now + kNoBufferMs : link.patience);
+  park_.wake_at(link.token, link.intake->starved() ? now + kGoOnMs : link.patience);
 }
 
 // All that has come. True where that was the ending.
 bool ServerLinks::hear(Link& link) {
   std::optional<Ending> ending;
+  link.intake->begin_turn();
   try {
     ending = await(link);
   } catch (const std::exception& failed) {  // no memory, say
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -85,11 +85,13 @@
 // 3 s and be at work at 4 s. On a link that has served, and as a link's first.
 TEST_CASE("a query that is still coming in late in an evacuation is refused, and taken after activate") {
   Served served(Hosts{});
-  Peer kept = served.client(), first = served.client();
-  kept.write(kAskReady);
-  kept.message();
+  Peer kept = served.client(), mute = served.client(), first = served.client();
+  for (Peer* peer : {&kept, &mute}) {
+    peer->write(kAskReady);
+    peer->message();
+  }
   const std::string text = query_text("a", "refund-payout");
-  for (Peer* peer : {&kept, &first}) peer->write(text.substr(0, 30));
+  for (Peer* peer : {&kept, &mute, &first}) peer->write(text.substr(0, 30));
   served.call("evacuate\n");
   served.clock.set(kNow + 1'790);
   Peer late = served.client();
@@ -97,6 +99,7 @@
   served.clock.set(kNow + 1'900);
   CHECK(has(first.message(), "sent away"));  // without another byte from it
   CHECK(has(late.message(), "sent away"));
+  CHECK(has(mute.message(), "sent away"));  // on a link that has served, too
   kept.write(text.substr(30));
   CHECK(has(kept.message(), "sent away"));
   served.call("activate\n");
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -502,6 +502,17 @@
     servers.start(std::move(execution));
   }
   Status ending() { return std::get<core::ExecutionEnded>(next()).status; }
+  // A link whose execution has ended with its result, but for the end of the body.
+  Peer link_without_tail() {
+    start("q");
+    Peer link = worker.accept();
+    link.message();
+    const std::string answer = done("q", "ok");
+    link.write(answer.substr(0, answer.size() - 5));
+    CHECK(std::holds_alternative<core::ExecutionStarted>(next()));
+    CHECK(ending() == Status::ok);
+    return link;
+  }
   // A link that has served one execution and is kept.
   Peer kept_link() {
     start("q");
@@ -695,13 +706,7 @@
 // Guards the client's time: the end of a body may lag behind its result.
 TEST_CASE("an answer whose tail is still to come is told at once, and its link serves on once it has come") {
   Bench bench("Ready");
-  bench.start("q");
-  Peer link = bench.worker.accept();
-  link.message();
-  const std::string answer = done("q", "ok");
-  link.write(answer.substr(0, answer.size() - 5));
-  CHECK(std::holds_alternative<core::ExecutionStarted>(bench.next()));
-  CHECK(bench.ending() == Status::ok);
+  Peer link = bench.link_without_tail();
   bench.start("r");  // meanwhile it is no link for another
   Peer second = bench.worker.accept();
   CHECK(second.message().ends_with("pay"));
@@ -718,13 +723,7 @@
 
 TEST_CASE("an answer whose tail does not come ends its link, and counts all the same") {
   Bench bench("Ready");
-  bench.start("q");
-  Peer link = bench.worker.accept();
-  link.message();
-  const std::string answer = done("q", "ok");
-  link.write(answer.substr(0, answer.size() - 5));
-  CHECK(std::holds_alternative<core::ExecutionStarted>(bench.next()));
-  CHECK(bench.ending() == Status::ok);
+  Peer link = bench.link_without_tail();
   bench.clock.set(kNow + 300);
   CHECK(link.closed());
 }
@@ -799,6 +798,56 @@
   CHECK(front.links->open() == 0);
 }
 
+// Guards all others against one that sends as fast as it is read: there is one thread for all of them.
+TEST_CASE("a link that floods is read a turn at a time, and told so when its time is over") {
+  core::Clock clock;
+  BufferPool pool(4);
+  int ends[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+  Socket here{Fd(ends[0])}, there{Fd(ends[1])};
+  const int much = 1'000'000;
+  ::setsockopt(there.fd(), SOL_SOCKET, SO_SNDBUF, &much, sizeof much);
+  const std::string lines = "HTTP/1.1 200 OK\r\n\r\n" + std::string(12 * kBufferBytes, '\n');
+  REQUIRE(there.send_some({lines}) == lines.size());
+  Intake intake(here, clock, pool);
+  Io why = Io::done;
+  intake.use(intake.head(Intake::kNoWait, why).value());
+  LineReader reader(intake, {Framing::Kind::to_end, 0, true});
+  std::string line;
+  std::size_t read = 0;
+  while (reader.next(line, Intake::kNoWait) == LineReader::Got::line) read += 1;
+  CHECK(intake.starved());
+  CHECK(read < 9 * kBufferBytes);
+  intake.begin_turn();
+  while (reader.next(line, Intake::kNoWait) == LineReader::Got::line) read += 1;
+  CHECK_FALSE(intake.starved());
+  CHECK(read == 12 * kBufferBytes);
+
+  Front front(16);
+  std::atomic<bool> over{false};
+  std::vector<std::thread> flood;
+  std::atomic<int> told{0};
+  for (int i = 0; i < 6; ++i)
+    flood.emplace_back([&] {
+      Peer peer = Peer::to(front.port);
+      peer.write("POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+      std::string trailers;
+      while (trailers.size() < 200'000) trailers += "x: y\r\n";
+      while (!over && ::send(peer.socket.fd(), trailers.data(), trailers.size(), MSG_NOSIGNAL) > 0) {
+      }
+      told += 1;
+    });
+  front.await(Standing::reading, 6);
+  for (int i = 0; i < 20; ++i) Front::ask(*std::make_unique<Peer>(Peer::to(front.port)));
+  front.clock.set(kNow + 10'000);
+  front.await(Standing::reading, 0);
+  front.clock.set(kNow + 11'000);
+  front.await(Standing::leaving, 0);
+  over = true;
+  for (std::thread& one : flood) one.join();
+  CHECK(told == 6);
+}
+
 // Guards new clients at the edge: nobody looks for a place again by the clock.
 TEST_CASE("new links wait where all have a query at work, and the first that falls idle gives way") {
   Front front(1);
