End a node in any order: the inbox calls no owner that is gone, callbacks end first

Seen: a sanitizer run beside a busy machine ended in node.cpp:134, "member access ... does not point to an object of type 'Decider'". Lines at fault: Decider's constructor hands `this` to Inbox::set_owner, ~Decider never took it back, and Inbox::call_owner let go of its mutex before the call. Server links, the crew and the Keeper end after the Decider and put into the inbox until then.

Checked: the other callbacks. share_out() is called on the kin links' own threads: ~Node ended them, but a constructor that throws after kin_.meet() runs no ~Node, and kin_ outlives clients_ there. The witness is the addition, which outlives the loop. Management's callers are waited for first. Askers left in the inbox or the loop touch nothing as they go.

Change: who takes the call back waits for one that runs (a shared mutex of its own, so that takers do not wait); ~Decider does; what ~Node did is done by a member that ends first, also behind a constructor that throws.

--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -7,6 +7,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <shared_mutex>
 #include <string>
 #include <utility>
 #include <variant>
@@ -37,9 +38,10 @@
 struct ExecutionEnded {
   ExecutionKey key;
   woadtide::Status status = woadtide::Status::error;
-  std::string result;      // with Status::ok
-  bool bad_query = false;  // the worker found the query itself wrong
-  bool failed = false;     // the worker said that it ran and failed
+  std::string result;       // with Status::ok
+  bool bad_query = false;   // the worker found the query itself wrong
+  bool failed = false;      // the worker said that it ran and failed
+  std::string report = {};  // of its load, as the worker wrote it: `name=value,name=value`
 };
 struct ProbeEnded {
   std::string worker;
@@ -72,9 +74,10 @@
  public:
   static constexpr std::size_t kManyWaiting = 4096;
 
-  // Who empties it, and is called, on the thread that puts, where that has to be done. Once.
+  // Who empties it, and is called, on the thread that puts, where that has to be done. An owner that ends
+  // before those who put sets none: from the return on nobody calls the former one. Not from within the call.
   void set_owner(std::function<void()> call) {
-    const std::lock_guard lock(mutex_);
+    const std::unique_lock lock(owner_mutex_);
     call_ = std::move(call);
   }
 
@@ -83,16 +86,20 @@
 
   // Every link has at most a query and an ending on the way, so this stays bounded by the links.
   void put(Message message, Call call = Call::now) {
-    std::unique_lock lock(mutex_);
-    messages_.push_back(std::move(message));
-    if (call == Call::now) call_owner(lock);
+    {
+      const std::lock_guard lock(mutex_);
+      messages_.push_back(std::move(message));
+    }
+    if (call == Call::now) call_owner();
   }
   // For news that can be done without: dropped where so much is waiting that a peer must be flooding us.
   void put_hint(Message message, Call call = Call::now) {
-    std::unique_lock lock(mutex_);
-    if (messages_.size() >= kManyWaiting) return;
-    messages_.push_back(std::move(message));
-    if (call == Call::now) call_owner(lock);
+    {
+      const std::lock_guard lock(mutex_);
+      if (messages_.size() >= kManyWaiting) return;
+      messages_.push_back(std::move(message));
+    }
+    if (call == Call::now) call_owner();
   }
   // All that has come, in order.
   std::deque<Message> take() {
@@ -107,12 +114,12 @@
   }
 
  private:
-  void call_owner(std::unique_lock<std::mutex>& lock) {
-    if (!call_) return came_.notify_one();
-    lock.unlock();
-    call_();
+  void call_owner() {
+    const std::shared_lock lock(owner_mutex_);
+    call_ ? call_() : came_.notify_one();
   }
 
+  std::shared_mutex owner_mutex_;  // shared while the owner is called: who takes it back waits for that
   std::function<void()> call_;
   std::mutex mutex_;
   std::condition_variable came_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -109,7 +109,8 @@
       decider_(loop_, inbox_, park_, clock),
       front_(clock, inbox_),
       side_{clock, client_pool_, park_, front_},
-      clients_(std::move(listener_), budget_.client_links, side_) {
+      clients_(std::move(listener_), budget_.client_links, side_),
+      leaving_{*this} {
   if (!config.folder.empty()) {
     // The address tells apart dispatchers that happen to share a folder.
     char name[40];
@@ -136,6 +137,7 @@
 }
 
 Node::Decider::~Decider() {
+  inbox.set_owner({});  // links, the crew and the addition put into it until they end, after this
   park.leave(place);
   park.quiesce();
 }
@@ -145,9 +147,11 @@
   core::log_line("reload: done, discovery at " + config.discovery);
 }
 
-Node::~Node() {
-  if (addition_) addition_->close();
-  kin_.end();  // before all that share_out() touches
+Node::~Node() = default;
+
+Node::Leaving::~Leaving() {
+  if (node.addition_) node.addition_->close();
+  node.kin_.end();
 }
 
 // Two processes are one dispatcher to the platform: together they stay within what it allows.
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -112,6 +112,12 @@
   net::ClientLinks clients_;
   std::mutex state_mutex_;
   bool ending_ = false, evacuated_ = false;
+  // Who calls back from threads of its own ends before all that it touches, also where the constructor
+  // throws.
+  struct Leaving {
+    Node& node;
+    ~Leaving();
+  } leaving_;
   std::optional<net::Management> management_;  // last: its threads use all the others
 };
 
