Listen to the agent where lists are pushed, from the start and whenever the watch ends

Ruled out: asking in the module. It is told unasked there, and what an agent needs is a matter of the wire.

Change: HostGroup knows both ways. Where lists are pushed it opens the watch at once and again 50 ms to 1 s after it ends or falls silent; the module hears of no failure. For both ways, a list of an older sequence than ours takes no worker back; what it drains holds at once, and after 6 s of older lists alone the whole list is asked for anew. A list from another address, after SIGHUP, is taken as it comes.

--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -1,5 +1,6 @@
 #include "net/host_group.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -12,22 +13,26 @@
 using woadtide::WorkerState;
 
 namespace {
-constexpr double kAgainMs = 50;  // where no thread can be had to open a watch
+constexpr double kAgainMs = 50;  // where no thread can be had to open a watch, and first after an agent's end
+constexpr double kMostAgainMs =
+    1'000;  // it doubles up to this: an agent is on our own machine, and asking is free
 }  // namespace
 
 HostGroup::HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
-                     core::Inbox& inbox, BufferPool& pool, park::Park& park, park::Crew& crew,
+                     core::Inbox& inbox, BufferPool& pool, park::Park& park, park::Crew& crew, Way way,
                      double silence_ms)
     : clock_(clock),
       inbox_(inbox),
       pool_(pool),
       park_(park),
       crew_(crew),
+      way_(way),
       silence_ms_(silence_ms),
       discovery_(discovery),
       address_(discovery) {
   apply(remembered, ListKind::remembered);
   begins_ = park_.enter(*this, -1);
+  if (way_ == Way::pushed) watch();
 }
 
 HostGroup::~HostGroup() {
@@ -53,6 +58,7 @@
   if (discovery == discovery_) return;
   discovery_ = discovery;
   address_ = address;
+  any_seq_ = true;
   // One watch is followed: what is open is shut, and it goes on at the new address.
   moved_ = following_;
   if (!following_) return begin();
@@ -151,15 +157,49 @@
       case LineReader::Got::broken:
         throw std::runtime_error("the link ended");
     }
+    if (older_since_ && clock_.now() - *older_since_ >= kOlderMs) {
+      seq_ = 0;  // asks for the whole list
+      any_seq_ = true;
+      older_since_.reset();
+      throw std::runtime_error("discovery has begun anew");
+    }
     if (line.empty()) continue;
     const nlohmann::json object = nlohmann::json::parse(line, nullptr, false);
     if (object.is_discarded()) throw std::runtime_error("a line is not JSON");
     const core::HostList list = core::read_host_list(object);
     if (!std::exchange(told_, true)) core::log_line("watch: open at seq " + std::to_string(list.seq));
-    apply(list, list.whole ? ListKind::full : ListKind::changes);
+    again_ms_ = 0;
+    take(list);
   }
 }
 
+// Under the mutex.
+void HostGroup::take(const core::HostList& list) {
+  if (list.seq < seq_ && !any_seq_) return take_older(list);
+  any_seq_ = false;
+  older_since_.reset();
+  apply(list, list.whole ? ListKind::full : ListKind::changes);
+}
+
+// Under the mutex. A worker that has drained or gone since must not come back by it, nor one go that came
+// since. But a drain may be news all the same, from a discovery that counts anew, and counts as told: what
+// it takes away from a worker of the same start holds at once, and the rest once it has said so for long.
+void HostGroup::take_older(const core::HostList& list) {
+  if (!older_since_) {
+    older_since_ = clock_.now();
+    core::log_line("watch: the list goes back from seq " + std::to_string(seq_) + " to " +
+                   std::to_string(list.seq) + ": only its drains are taken for now");
+  }
+  core::HostList drains{seq_, false, {}};
+  for (const core::Host& host : list.hosts) {
+    const auto known = hosts_.find(host.entry.worker);
+    if (known != hosts_.end() && host.entry.state != WorkerState::ready &&
+        known->second.state == WorkerState::ready && host.entry.started == known->second.started)
+      drains.hosts.push_back(host);
+  }
+  if (!drains.hosts.empty()) apply(drains, ListKind::changes);
+}
+
 // Under the mutex. Closed before the module hears of the failure, so that it can ask again.
 void HostGroup::end(const std::string& why) {
   park_.leave(std::exchange(watch_, park::Park::kNone));
@@ -169,7 +209,12 @@
   following_ = false;
   if (stopping_) return;
   if (moved_) return begin();
-  core::log_line("watch: failed: " + why);
+  if (again_ms_ == 0) core::log_line("watch: failed: " + why);
+  if (way_ == Way::pushed) {
+    following_ = true;
+    again_ms_ = std::clamp(2 * again_ms_, kAgainMs, kMostAgainMs);
+    return park_.wake_at(begins_, clock_.now() + again_ms_);
+  }
   inbox_.put(core::ListTold{{ListKind::failed, {}}});
 }
 
@@ -178,8 +223,8 @@
   std::map<std::string, Known> told;
   core::ListTold message{{kind, {}}};
   for (const core::Host& host : list.hosts) {
-    told.insert_or_assign(host.entry.worker,
-                          Known{Address(host.dial), host.dial, host.entry.state, host.entry.kind});
+    told.insert_or_assign(host.entry.worker, Known{Address(host.dial), host.dial, host.entry.state,
+                                                   host.entry.kind, host.entry.started});
     message.update.entries.push_back(host.entry);
   }
   seq_ = list.seq;
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -1,5 +1,9 @@
 // The host group: discovery's list as this dispatcher has it, and the watch that keeps it fresh. A thread of
 // the crew opens the watch; between its lines it stands in the park.
+//
+// Where lists are asked for, the module decides when: it asks for a watch, and hears of one that failed.
+// Where they are pushed, nobody asks: the watch at the agent is opened at once, and again whenever it ends.
+// Both ways a list of an older sequence than ours takes no worker back: see take_older().
 #pragma once
 
 #include <condition_variable>
@@ -23,17 +27,21 @@
   // a machine that is cut off says nothing, and a drain counts as told 6 s after discovery knew of it.
   static constexpr double kSilenceMs = 5'000;
   static constexpr double kConnectMs = 1'000;
+  // Told from a list that is older than ours for this long, discovery has begun anew: its list is the list.
+  static constexpr double kOlderMs = 6'000;
+  enum class Way { asked, pushed };
 
   struct Known {
     Address address;
     std::string dial;
     woadtide::WorkerState state = woadtide::WorkerState::gone;
     std::string kind = {};
+    std::optional<woadtide::Micros> started = {};
   };
 
   // The remembered list goes to the Inbox at once.
   HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
-            core::Inbox& inbox, BufferPool& pool, park::Park& park, park::Crew& crew,
+            core::Inbox& inbox, BufferPool& pool, park::Park& park, park::Crew& crew, Way way = Way::asked,
             double silence_ms = kSilenceMs);
   ~HostGroup() override;
   HostGroup(const HostGroup&) = delete;
@@ -54,6 +62,8 @@
   void late() override;
   void hear();
   void end(const std::string& why);
+  void take(const core::HostList& list);
+  void take_older(const core::HostList& list);
   void apply(const core::HostList& list, woadtide::ListKind kind);
 
   core::Clock& clock_;
@@ -61,6 +71,7 @@
   BufferPool& pool_;
   park::Park& park_;
   park::Crew& crew_;
+  const Way way_;
   const double silence_ms_;
   mutable std::mutex mutex_;
   std::condition_variable opened_;
@@ -69,6 +80,9 @@
   // following: a watch is open, being opened or about to be; opening: a thread of the crew is at it.
   bool following_ = false, opening_ = false, moved_ = false, stopping_ = false;
   std::int64_t seq_ = 0;
+  bool any_seq_ = false;               // of another address, or discovery begun anew: whatever it says holds
+  std::optional<double> older_since_;  // only lists of older sequences have come since
+  double again_ms_ = 0;                // pushed: the gap before the watch is opened again
   std::map<std::string, Known> hosts_;
   park::Park::Token begins_ = park::Park::kNone, watch_ = park::Park::kNone;
   Socket socket_;  // of the thread that opens it, then of the park's; shut by others under the mutex
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -98,7 +98,8 @@
       worker_pool_(budget_.worker_buffers),
       park_(clock),
       crew_({.most = budget_.server_links, .reserve = kUrgent}, std::move(start)),
-      hosts_(config.discovery, config.known, clock, inbox_, worker_pool_, park_, crew_),
+      hosts_(config.discovery, config.known, clock, inbox_, worker_pool_, park_, crew_,
+             config.settings.list_on_request ? net::HostGroup::Way::asked : net::HostGroup::Way::pushed),
       servers_(server_limits(config.settings, budget_), clock, inbox_, hosts_, worker_pool_, park_, crew_),
       kin_(inbox_, park_, [this](std::size_t processes) { share_out(processes); }),
       addition_(adder ? adder({config.settings, config.class_names, clock, inbox_, servers_, hosts_, park_})
--- /dev/null
+++ b/tests/lists_test.cpp
@@ -0,0 +1,139 @@
+// Lists that an agent on the own machine pushes: listened to unasked, again after every end, and what goes
+// back.
+#include <poll.h>
+
+#include "node_harness.hpp"
+
+namespace woadtide::net {
+namespace {
+
+std::string line_of(int seq, bool whole, Hosts hosts) {
+  return nlohmann::json{{"seq", seq}, {"whole", whole}, {"hosts", std::move(hosts)}}.dump();
+}
+nlohmann::json started(nlohmann::json host, std::int64_t born_ms) {
+  host["born_ms"] = born_ms;
+  return host;
+}
+
+// A host group that remembers worker "w" at seq 41; its clock stands still unless it is pushed on.
+struct Group {
+  explicit Group(HostGroup::Way way)
+      : hosts(agent.dial(),
+              core::read_host_list(
+                  {{"seq", 41}, {"whole", true}, {"hosts", {host_json("w", "127.0.0.1:1", "Ready")}}}),
+              standing(), inbox, pool, park, crew, way) {
+    CHECK(next().kind == ListKind::remembered);
+  }
+  core::Clock& standing() {
+    clock.set(kNow);
+    return clock;
+  }
+  ListUpdate next() {
+    while (come.empty()) {
+      inbox.wait(10'000);
+      for (core::Message& message : inbox.take()) come.push_back(std::get<core::ListTold>(message).update);
+      REQUIRE_MESSAGE(!come.empty(), "no list came");
+    }
+    ListUpdate update = std::move(come.front());
+    come.pop_front();
+    return update;
+  }
+  // The clock goes on until something has come there.
+  void pass_until(const Socket& socket) {
+    pollfd come{socket.fd(), POLLIN, 0};
+    for (int tries = 0; ::poll(&come, 1, 20) == 0; ++tries) {
+      REQUIRE_MESSAGE(tries < 1'000, "nothing came");
+      clock.set(clock.now() + 100);
+    }
+  }
+  // The agent's side of the next watch, with what it was asked for.
+  Peer watch(const std::string& since) {
+    pass_until(agent.socket);
+    Peer peer = agent.accept();
+    const std::string asked = peer.message();
+    CAPTURE(asked);
+    CHECK(asked.find("/registry/instances?follow=1&since=" + since + " ") != std::string::npos);
+    peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    return peer;
+  }
+  static void say(Peer& peer, const std::string& line) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
+    peer.write(size + line + "\n\r\n");
+  }
+  WorkerState state(const std::string& worker) {
+    const auto known = hosts.find(worker);
+    return known ? known->state : WorkerState::gone;
+  }
+
+  Port agent;
+  core::Clock clock;
+  core::Inbox inbox;
+  BufferPool pool{16};
+  std::deque<ListUpdate> come;
+  park::Park park{clock};
+  park::Crew crew{{}};
+  HostGroup hosts;
+};
+
+// Guards the rule on drains: what the agent holds counts as told, whether anybody asked or not.
+TEST_CASE("where lists are pushed the agent is listened to at once, and again when its watch ends") {
+  Group group(HostGroup::Way::pushed);
+  {
+    Peer watch = group.watch("41");
+    Group::say(watch, line_of(43, false, {host_json("v", "127.0.0.1:2")}));
+    CHECK(group.next().entries.at(0).worker == "v");
+  }
+  Peer again = group.watch("43");
+  Group::say(again, line_of(44, false, {host_json("v", "127.0.0.1:2", "Terminating")}));
+  const ListUpdate drain = group.next();
+  CHECK(drain.kind == ListKind::changes);  // the module, which asked for nothing, heard of no failure
+  CHECK(drain.entries.at(0).state == WorkerState::draining);
+}
+
+TEST_CASE("a silent agent is asked anew, later each time, and a node listens by what its settings say") {
+  Group group(HostGroup::Way::pushed);
+  Peer silent = group.watch("41");
+  group.pass_until(silent.socket);
+  CHECK(silent.closed());
+  CHECK(group.clock.now() >= kNow + HostGroup::kSilenceMs);
+  Peer again = group.watch("41");
+
+  Port agent;
+  nlohmann::json config = config_json({}, agent.dial());
+  config["settings"]["Discovery"] = "pushed";
+  core::Clock clock;
+  clock.set(kNow);
+  Node node(core::read_config(config), clock);
+  CHECK(agent.accept().message().starts_with("GET /registry/instances?follow=1&since=41 "));
+}
+
+// Guards the rule on drains both ways: an agent that has lost its news must not bring a worker back, and its
+// drains may be news all the same.
+TEST_CASE("of a list that goes back only drains hold, until it has gone on for long") {
+  Group group(HostGroup::Way::pushed);
+  Peer watch = group.watch("41");
+  Group::say(watch, line_of(50, true,
+                            {host_json("w", "127.0.0.1:1", "Terminating"), host_json("v", "127.0.0.1:2"),
+                             started(host_json("u", "127.0.0.1:3"), 7)}));
+  CHECK(group.next().kind == ListKind::full);
+  Group::say(watch, line_of(12, true,
+                            {host_json("w", "127.0.0.1:1"), host_json("v", "127.0.0.1:2", "Terminating"),
+                             host_json("u", "127.0.0.1:3", "Terminating")}));
+  const ListUpdate drains = group.next();
+  CHECK(drains.kind == ListKind::changes);
+  REQUIRE(drains.entries.size() == 1);  // u has started again since
+  CHECK(drains.entries.at(0).worker == "v");
+  CHECK(group.state("w") == WorkerState::draining);
+  CHECK(group.state("u") == WorkerState::ready);
+  group.clock.set(group.clock.now() + HostGroup::kOlderMs);
+  Group::say(watch, "");
+  Peer anew = group.watch("0");
+  Group::say(anew, line_of(12, true, {host_json("w", "127.0.0.1:1")}));
+  CHECK(group.next().kind == ListKind::full);
+  CHECK(group.state("w") == WorkerState::ready);
+  CHECK(group.state("v") == WorkerState::gone);
+}
+
+}  // namespace
+}  // namespace woadtide::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -469,7 +469,7 @@
       : hosts(discovery.dial(),
               core::read_host_list(
                   {{"seq", 1}, {"whole", true}, {"hosts", {host_json("w", worker.dial(), health)}}}),
-              standing(), inbox, pool, park, crew, kSilence),
+              standing(), inbox, pool, park, crew, HostGroup::Way::asked, kSilence),
         servers({most, 5'000, 60'000, settle_ms}, clock, inbox, hosts, pool, park, crew) {
     next();  // the remembered list
   }
