Keep a share of the first limits where starts are not told; read load reports in answers

So the limits refuse, and fall to one slot at workers of 4 and 5 cores. Cause: balance.cpp update_limit cuts at a p95 over 1, and there a job is late by its own running: hints are rough, a model may have to be fetched for a job's length, a slow kind takes twice its hint. At Harbourline a start is told, hints are good, and the p95 shows queues.

Taken: 8/N (kFirstShare) where the settings say that starts are not told; home keeps its limits as they were.

Load reports come with answers there (`qps`, `inflight`, `x0`), in the last line or in X-Load-Report, and were read from probes only: they are passed on with the ending now, and what a worker holds tells the cores of its kind, which the turns at cold workers go by.

Tests: each fails without its change.

--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -243,6 +243,7 @@
   };
   for (const auto& [name, value] : pairs.items()) {
     if (!value.is_number()) continue;
+    if (name == "active") report.held = value.get<double>();
     if (name == "waiting") report.queue = value.get<double>();
     if (name == "rps") report.served_per_s = value.get<double>();
     if (name == "avg_ms") report.latency_s = value.get<double>() / 1000;
--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -85,6 +85,7 @@
 
 struct LoadReport {  // absent: not reported here
   std::optional<double> queue, utilization, free_slots, free_memory;
+  std::optional<double> held;                     // jobs in work there, waiting ones too
   std::optional<double> served_per_s, latency_s;  // of late; with the time in the queue
 };
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -17,14 +17,12 @@
 constexpr double kBackoffRatio = 0.7;  // a limit's cut; with +1 a step it finds its level in a few steps
 constexpr double kMinLimit = 1, kMaxLimit = 64;  // a worker is never shut off; nothing tests growth for ever
 constexpr double kFirstShare = 8;  // slots at a worker that all dispatchers share out as their first limits
-constexpr std::size_t kFullSample = 20;        // below this many a p95 is the maximum
-constexpr std::size_t kFewestSamples = 5;      // a window with fewer waits for the next interval
-constexpr int kMostIntervals = 3;              // and no longer than this
-constexpr double kSmoothing = 0.2;             // weight of a new observation in a running mean
+constexpr std::size_t kFullSample = 20;                // below this many a p95 is the maximum
+constexpr int kFewestSamples = 5, kMostIntervals = 3;  // fewer wait for the next interval, up to so many
+constexpr double kSmoothing = 0.2;                     // weight of a new observation in a running mean
 constexpr Micros kFirstBar = kInterval / 3;    // how long a worker is left alone after its first failure
 constexpr int kFewestFailures = 2;             // in a row, before a worker is left alone for them
-constexpr int kReports = 8;                    // for the cores of a kind
-constexpr int kSilent = 6;                     // connects that fail in a zone where none succeeds
+constexpr int kReports = 8, kSilent = 6;       // for a kind's cores; connects that fail where none succeeds
 constexpr Micros kOvertaken = kInterval / 60;  // later jobs may start before by less, on their way there
 constexpr int kMostBars = 4;                   // doublings end here: a re-trial at least every 8 first bars
 constexpr double kCallShare = 0.008, kAskAtOnce = 8;  // of must_ask_within for a call; calls that are no rush
@@ -64,7 +62,6 @@
 // An attempt that we wait for no more, still on its worker's slots: a cancel or a time-out stops nothing.
 struct Leftover {
   Micros until{0}, work{0};  // until: when it should be done
-  double slots = 0;
 };
 
 struct Worker {
@@ -117,11 +114,12 @@
     check(settings_);
     for (const ClassSettings& kind : settings_.classes) least_worth_ = std::min(least_worth_, kind.worth);
     class_work_.assign(settings_.classes.size(), Micros{0});
-    // Where no time is stated an interval serves: without one, refused calls would be repeated every tick.
-    if (settings_.must_ask_within.count() == 0) settings_.must_ask_within = kInterval;
+    if (settings_.must_ask_within.count() == 0) settings_.must_ask_within = kInterval;  // not told
     // Discovery takes calls one by one, and works on those that gave up too: all spread theirs over that.
     const double share = std::clamp(kCallShare * (settings_.dispatchers - kAskAtOnce), 0.0, 0.8);
     all_ask_ = scaled(settings_.must_ask_within, share);
+    // Where starts are not told an answer may be late by its own running: a limit keeps a share of the first.
+    if (!settings_.tells_start) least_limit_ = std::max(kMinLimit, kFirstShare / settings_.dispatchers);
   }
 
   void begin(Micros now, std::vector<Action>& actions) {
@@ -221,7 +219,7 @@
 
   void judge(Worker& worker) {
     Limiter& own = worker.limiter;
-    const bool filled = own.ratios.size() >= kFewestSamples;
+    const bool filled = std::ssize(own.ratios) >= kFewestSamples;
     if (!filled && !own.timeout_seen && ++worker.intervals < kMostIntervals) return;
     worker.thin = !filled;
     if (filled || own.timeout_seen) update_limit(own, worker.slots);
@@ -248,13 +246,12 @@
     shared_limit_ = std::clamp(shared_limit_, 3 * kFirstShare / settings_.dispatchers, kMaxLimit);
   }
 
-  static void update_limit(Limiter& own, double slots) {
+  void update_limit(Limiter& own, double slots) {
     if (own.timeout_seen || quantile(own.ratios, 0.95, kFullSample) > 1)
       own.limit = std::floor(own.limit * kBackoffRatio);
     else if (slots * 2 >= own.limit)
       own.limit += 1;
-    own.limit = std::clamp(own.limit, kMinLimit, kMaxLimit);
-    own.ratios.clear();
+    own.limit = std::clamp(own.limit, least_limit_, kMaxLimit);
     own.timeout_seen = false;
   }
 
@@ -421,6 +418,7 @@
     if (outcome.status == Status::cancelled || outcome.status == Status::timeout)
       leave(worker, job, *attempt);
     observe(worker, job, *attempt, outcome.status);
+    if (outcome.load) learn_cores(*worker.kind, *outcome.load);
     if (Health& health = health_of(worker, job); --health.jobs == 0) health.mute = false;
     if (!proves_not_run(outcome.status) && !job.may_have_run)
       job.may_have_run = attempt->sent, job.ran_at = worker.entry;
@@ -433,7 +431,7 @@
     if (health_of(worker, job).mute) return;
     const Micros begin = attempt.began.value_or(now_ + seconds_span(expected_wait(worker)));
     const Micros end = begin + seconds_span(seconds(job.work) * pace_of(worker));
-    if (end > now_) worker.left.push_back({end, job.work, job.request.slots});
+    if (end > now_) worker.left.push_back({end, job.work});
   }
 
   std::pair<std::map<std::string, Job>::iterator, Attempt*> find_out(const std::string& id, int number) {
@@ -503,8 +501,7 @@
     const Job& job = found->second;
     Worker& worker = workers_.at(attempt->worker);
     const Micros age = now_ - attempt->sent;
-    const bool mute = health_of(worker, job).mute;
-    if (!mute && seconds(age) > expected_wait(worker)) note_wait(worker, age);
+    if (!health_of(worker, job).mute && seconds(age) > expected_wait(worker)) note_wait(worker, age);
     const bool move = may_move(job, worker);
     if (move) moves_left_ -= 1;
     if (move || (settings_.may_cancel && hopeless(job, worker)))
@@ -539,13 +536,17 @@
 
   // One of many sees few of its own jobs run at once: its workers have to tell how many cores a kind has.
   void on(const ProbeResult& told) {
-    const auto known = workers_.find(told.worker);
-    if (known == workers_.end() || !told.load || !told.load->free_slots) return;
-    Kind& kind = *known->second.kind;
-    // What it holds is what it serves in a second times how long each takes.
-    const LoadReport& load = *told.load;
-    const double held = load.served_per_s.value_or(0) * load.latency_s.value_or(0) - load.queue.value_or(0);
-    kind.told += (*load.free_slots + held - kind.told) / ++kind.reports;
+    if (const auto known = workers_.find(told.worker); known != workers_.end())
+      learn_cores(*known->second.kind, told.load.value_or(LoadReport{}));
+  }
+
+  void learn_cores(Kind& kind, const LoadReport& load) {
+    // Held jobs that wait are told apart only while there are free slots.
+    if (!load.free_slots || (load.held && *load.free_slots < 1)) return;
+    // What it has at work is what it serves in a second times how long each takes.
+    const double served = load.served_per_s.value_or(0) * load.latency_s.value_or(0);
+    const double at_work = load.held.value_or(served - load.queue.value_or(0));
+    kind.told += (*load.free_slots + at_work - kind.told) / ++kind.reports;
     kind.cores = std::max({kind.cores, *load.free_slots, kind.reports < kReports ? 1 : kind.told});
   }
 
@@ -696,7 +697,7 @@
   std::map<std::string, Ban> bans_;  // by worker
   std::map<std::string, Job> jobs_;
   std::vector<Micros> class_work_;  // usual latency of each class, for jobs without a hint
-  double moves_left_ = 0;
+  double moves_left_ = 0, least_limit_ = kMinLimit;
   double shared_limit_ = kMaxLimit, shared_used_ = 0;  // used: a peak that fades
   double least_worth_ = std::numeric_limits<double>::infinity();
   double shared_slots_ = 0;  // slots out under it, as of the last pick
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -148,9 +148,9 @@
   // other worker would take it.
   if (message.bad_query) {
     settle(found->second, {AnswerKind::bad_query, "the worker cannot use it"});
-    return end(message.key, Status::cancelled);
+    return end(message.key, Status::cancelled, message.report);
   }
-  end(message.key, message.status);
+  end(message.key, message.status, message.report);
 }
 
 void DecisionLoop::take(ProbeEnded& message) {
@@ -281,7 +281,7 @@
 }
 
 // Each execution's outcome reaches the module exactly once, also when its query is settled.
-void DecisionLoop::end(const ExecutionKey& key, Status status) {
+void DecisionLoop::end(const ExecutionKey& key, Status status, const std::string& report) {
   const auto found = queries_.find(key.query);
   if (found == queries_.end()) return;
   Open& open = found->second;
@@ -296,6 +296,7 @@
   outcome.status = status;
   outcome.latency = to_micros(clock_.now() - open.executions[place].sent);
   outcome.closed = !open.asker;
+  if (!report.empty()) outcome.load = read_load_report(report, report_x0_, report_x1_);
   feed(outcome);
   drop_if_over(key.query);
 }
@@ -304,7 +305,7 @@
   if (!is_out(key)) return;
   executor_.cancel(key);
   if (witness_) witness_->ended(key, Status::timeout, {}, false);
-  end(key, Status::timeout);
+  end(key, Status::timeout, {});
 }
 
 void DecisionLoop::on_deadline(const std::string& id) {
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -95,7 +95,7 @@
   void feed(const woadtide::Event& event);
   void settle(Open& open, Answer answer);
   bool is_out(const ExecutionKey& key) const;
-  void end(const ExecutionKey& key, woadtide::Status status);
+  void end(const ExecutionKey& key, woadtide::Status status, const std::string& report);
   void time_out(const ExecutionKey& key);
   void on_deadline(const std::string& id);
   void drop_if_over(const std::string& id);
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -22,16 +22,22 @@
 // The last byte of a query waits for two round trips, as the connect showed them, but no longer than this;
 // and Limits::settle_ms for the worker to act.
 constexpr double kMostRoundsMs = 25;
+constexpr std::size_t kMostReport = 512;
 
-// Takes what we go by from a worker's line as it is read, without a tree of the rest.
+// Takes what we go by from a worker's line as it is read, without a tree of the rest. Its load report comes
+// out in the form that it has in a head, `name=value,name=value`.
 struct WorkerEvent : nlohmann::json_sax<nlohmann::json> {
   bool is_object = false;
   std::string id, state;
   std::optional<std::string> result;
+  std::string load;
 
   bool key(std::string& name) override {
-    wanted_ = depth_ != 1        ? Wanted::none
-              : name == "id"     ? Wanted::id
+    if (depth_ == 2 && in_load_) figure_ = std::move(name);
+    if (depth_ != 1) return true;
+    in_load_ = name == "load";
+    if (in_load_) load.clear();
+    wanted_ = name == "id"       ? Wanted::id
               : name == "state"  ? Wanted::state
               : name == "result" ? Wanted::result
                                  : Wanted::none;
@@ -54,9 +60,9 @@
   bool end_array() override { return --depth_, true; }
   bool null() override { return other(); }
   bool boolean(bool) override { return other(); }
-  bool number_integer(number_integer_t) override { return other(); }
-  bool number_unsigned(number_unsigned_t) override { return other(); }
-  bool number_float(number_float_t, const std::string&) override { return other(); }
+  bool number_integer(number_integer_t value) override { return number(std::to_string(value)); }
+  bool number_unsigned(number_unsigned_t value) override { return number(std::to_string(value)); }
+  bool number_float(number_float_t, const std::string& text) override { return number(text); }
   bool binary(binary_t&) override { return other(); }
   bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
     return false;
@@ -68,6 +74,11 @@
     depth_ += 1;
     return other();
   }
+  bool number(const std::string& text) {
+    if (depth_ == 2 && in_load_ && load.size() < kMostReport)
+      load.append(load.empty() ? "" : ",").append(figure_).append("=").append(text);
+    return other();
+  }
   // What is no text is none of ours.
   bool other() {
     if (wanted_ == Wanted::id) id.clear();
@@ -78,6 +89,8 @@
   }
   Wanted wanted_ = Wanted::none;
   int depth_ = 0;
+  bool in_load_ = false;
+  std::string figure_;  // the report's, whose value is next
 };
 
 std::string head_for(const core::Execution& execution, const std::string& dial, double left_ms) {
@@ -425,6 +438,7 @@
       const Framing framing = framing_of_answer(head);
       const int status = head.status;
       Ending ending = ending_of(head);
+      ending.report = head.find("X-Load-Report").value_or("");
       link.intake->use(*length);
       if (status < 200) continue;
       link.closes = framing.closes;
@@ -460,12 +474,12 @@
     const auto call = link.lines->has_line() ? core::Inbox::Call::with_next : core::Inbox::Call::now;
     if (state == "started") inbox_.put_hint(core::ExecutionStarted{key}, call);
     if (state == "running") inbox_.put_hint(core::ExecutionProgress{key}, call);
-    if (state == "failed") return Ending{Status::error, {}, false, true};
-    if (state == "returned") return Ending{Status::full};
-    if (state == "lost") return Ending{Status::reset};
+    if (state == "failed") return Ending{Status::error, {}, false, true, std::move(event.load)};
+    if (state == "returned") return Ending{Status::full, {}, false, false, std::move(event.load)};
+    if (state == "lost") return Ending{Status::reset, {}, false, false, std::move(event.load)};
     if (state != "done") continue;
     if (!event.result) throw BadMessage(400, "a result is not text");
-    return Ending{Status::ok, std::move(*event.result)};
+    return Ending{Status::ok, std::move(*event.result), false, false, std::move(event.load)};
   }
 }
 
@@ -489,7 +503,7 @@
     inbox_.put(core::ProbeEnded{task.execution.worker, ending.status, std::move(ending.result)});
   else
     inbox_.put(core::ExecutionEnded{task.execution.key, ending.status, std::move(ending.result),
-                                    ending.bad_query, ending.failed});
+                                    ending.bad_query, ending.failed, std::move(ending.report)});
 }
 
 }  // namespace woadtide::net
--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -55,7 +55,8 @@
     woadtide::Status status = woadtide::Status::error;
     std::string result = {};
     bool bad_query = false;
-    bool failed = false;  // the worker's word
+    bool failed = false;      // the worker's word
+    std::string report = {};  // of its load, as it came
   };
   // idle: for the next execution; sending: a thread of the crew has it; awaiting: of the answer, all that
   // has come is read; tail: the ending is told, the rest of the answer is still to come; over: to be closed
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -54,6 +54,23 @@
   EXPECT_LT(admitted(d, "b"), before);
 }
 
+// Where starts are not told, an answer may be late by its own running: cut to a slot, a fleet with room would
+// refuse most of its work. Where they are told, a limit goes as far as it must.
+TEST(LimiterBound, LimitsKeepTheirFirstShareWhereStartsAreNotTold) {
+  for (const bool told : {false, true}) {
+    Settings settings = plain_settings();
+    settings.tells_start = told;
+    settings.dispatchers = 2;
+    Driver d(settings);
+    d.list({entry("w")});
+    for (int round = 0; round < 8; ++round) {
+      for (int i = 0; i < 6; ++i) d.run("s" + std::to_string(round) + "-" + std::to_string(i), 600ms);
+      d.pass(3s);
+    }
+    EXPECT_EQ(admitted(d, "b"), told ? 1 : 4);
+  }
+}
+
 // A p95 of few samples is their maximum: one long job must not cut a healthy worker.
 TEST_F(Limiter, OneLongJobAmongFewDoesNotCut) {
   const int before = admitted(d, "a");
@@ -295,6 +312,29 @@
   EXPECT_EQ(seen.size(), 3u);
 }
 
+// Reports that come with answers cost nothing: what a cold worker stands is learnt from them as from probes.
+TEST(Cold, CoresOfAKindAreLearntFromReportsInAnswers) {
+  int sent[2] = {};
+  for (const bool told : {false, true}) {
+    Driver d(one_of(2, 0));
+    d.list({entry("w")});
+    LoadReport load;
+    load.free_slots = 3;
+    load.held = 1;
+    for (int i = 0; i < 10; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      d.ask(id);
+      d.pass(100ms);
+      d.feed(Outcome{id, 0, Status::ok, 0us, true, told ? std::optional(load) : std::nullopt});
+    }
+    d.list_cold();
+    d.feed(Exclude{"w"});
+    for (int i = 0; i < 40; ++i, d.pass(10ms)) sent[told] += !d.run("c" + std::to_string(i), 100ms).empty();
+  }
+  EXPECT_GT(sent[0], 0);
+  EXPECT_GE(sent[1], 2 * sent[0]);
+}
+
 TEST(Pick, KindThatTheClassNeeds) {
   Settings s = plain_settings();
   s.classes[0].kind = "gpu";
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -66,13 +66,15 @@
   Port worker;
   Served served(Hosts{host_json("w", worker.dial())});
   Peer client = served.client();
-  client.write(query_text("aa01", "refund-payout"));
+  std::string keyed = query_text("aa01", "refund-payout");
+  client.write(keyed.insert(keyed.find("X-Budget"), "Idempotency-Key: 5C0f\r\n"));
   Peer link = worker.accept();
   for (const std::string id : {"aa01", "aa02"}) {
     const std::string came = link.message();
     CHECK(starts(came, "POST /api?user=7f HTTP/1.1\r\n"));
     CHECK(has(came, "X-Call-Id: " + id + "\r\n"));
     CHECK(has(came, "X-Budget: 5000m\r\n"));
+    CHECK(has(came, "Idempotency-Key: 5C0f\r\n") == (id == "aa01"));
     CHECK(came.ends_with("\r\n\r\npay"));
     link.write(done(id, "ok " + id));
     const std::string answer = client.message();
@@ -703,6 +705,26 @@
   CHECK(bench.worker.accept().message().ends_with("pay"));
 }
 
+// Load reports come with what ends an execution: in its last line, or in the head that turns it away.
+TEST_CASE("a worker's load report is told with the ending that it came with") {
+  Bench bench("Ready");
+  bench.start("q");
+  Peer link = bench.worker.accept();
+  link.message();
+  link.write(chunked({event("q", "done",
+                            R"(,"load":{"x0":1.5,"active":3,"deep":{"x0":9},"word":"x"},"result":"ok")")}) +
+             "0\r\n\r\n");
+  const auto ended = std::get<core::ExecutionEnded>(bench.next());
+  CHECK(ended.result == "ok");
+  CHECK(ended.report == "x0=1.5,active=3");
+  bench.start("r");
+  link.message();
+  link.write("HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nX-Load-Report: x0=0,rps=9\r\nContent-Length: 0\r\n\r\n");
+  const auto full = std::get<core::ExecutionEnded>(bench.next());
+  CHECK(full.status == Status::full);
+  CHECK(full.report == "x0=0,rps=9");
+}
+
 // Guards the client's time: the end of a body may lag behind its result.
 TEST_CASE("an answer whose tail is still to come is told at once, and its link serves on once it has come") {
   Bench bench("Ready");
