--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -20,11 +20,10 @@
 constexpr std::size_t kFullSample = 20;                // below this many a p95 is the maximum
 constexpr int kFewestSamples = 5, kMostIntervals = 3;  // fewer wait for the next interval, up to so many
 constexpr double kSmoothing = 0.2;                     // weight of a new observation in a running mean
-constexpr Micros kFirstBar = kInterval / 3;    // how long a worker is left alone after its first failure
-constexpr int kFewestFailures = 2;             // in a row, before a worker is left alone for them
+constexpr Micros kFirstBar = kInterval / 3;        // how long a worker is left alone after its first failure
+constexpr int kFewestFailures = 2, kMostBars = 4;  // in a row, to leave a worker alone; its doublings
 constexpr int kReports = 8, kSilent = 6;       // for a kind's cores; connects that fail where none succeeds
 constexpr Micros kOvertaken = kInterval / 60;  // later jobs may start before by less, on their way there
-constexpr int kMostBars = 4;                   // doublings end here: a re-trial at least every 8 first bars
 constexpr double kCallShare = 0.008, kAskAtOnce = 8;  // of must_ask_within for a call; calls that are no rush
 constexpr double kJitter = 0.25;               // spread of waits, so that dispatchers do not act in step
 constexpr Micros kWaitMemory = 3 * kInterval;  // fades a wait: one of many dispatchers sees few at a worker
@@ -45,15 +44,13 @@
 };
 
 struct Kind {
-  double pace = 0, cores = 1, told = 0;  // of workers alike; told: cores by their reports, on average
-  int reports = 0;
+  double pace = 0, cores = 1, told = 0, reports = 0;  // of workers alike; told: cores by their reports
 };
 
 // Of one class at one worker: a worker may fail or hang for some of what it gets and serve the rest well.
 struct Health {
-  int failures = 0;  // since the last good answer
-  int jobs = 0;      // attempts of ours out
-  int bars = 0;      // failures that led to a bar, in a row
+  int failures = 0, jobs = 0;  // since the last good answer; attempts of ours out
+  int bars = 0;                // failures that led to a bar, in a row
   Micros barred_until{0};
   int trial_left = 0;  // good answers still wanted before it is trusted again
   bool mute = false;   // a job of ours should have started and did not
@@ -73,12 +70,12 @@
   Micros work{0};
   std::vector<Leftover> left;
   Limiter limiter;
-  int intervals = 0;           // that its window has been open
+  double peers = kMaxLimit;  // jobs of others there by its reports, on average; untold: it is full
+  int intervals = 0, link_failures = 0;  // that its window has been open; since its last good answer
   bool thin = true;            // too few answers to judge it alone; a cold one's turns limit it already
   double pace = 0;             // running time over hinted; 0: not seen yet
   Micros wait{0}, wait_at{0};  // recent wait in the queue, and as of when
   std::vector<Health> health;  // by class
-  int link_failures = 0;       // since its last good answer
   Micros full_until{0};
   std::optional<Micros> cold_since;
   double last_cycle = -1, next_cycle = -1;  // of its dispatchers' turns: where ours is spent, and is on
@@ -274,7 +271,9 @@
 
   bool admits(const Worker& worker, const Job& job) const {
     if (is_thin(worker) && shared_slots_ + job.request.slots - job.luck > shared_limit_) return false;
-    return worker.jobs == 0 || worker.slots + job.request.slots <= worker.limiter.limit;
+    // A core that stands idle is no overload, whatever late answers say.
+    const double idle = worker.cold_since ? 0 : worker.kind->cores - worker.peers;
+    return worker.jobs == 0 || worker.slots + job.request.slots <= std::max(idle, worker.limiter.limit);
   }
 
   bool may_take(const Worker& worker, const Job& job) const {
@@ -418,7 +417,7 @@
     if (outcome.status == Status::cancelled || outcome.status == Status::timeout)
       leave(worker, job, *attempt);
     observe(worker, job, *attempt, outcome.status);
-    if (outcome.load) learn_cores(*worker.kind, *outcome.load);
+    if (outcome.load) hear(worker, *outcome.load);
     if (Health& health = health_of(worker, job); --health.jobs == 0) health.mute = false;
     if (!proves_not_run(outcome.status) && !job.may_have_run)
       job.may_have_run = attempt->sent, job.ran_at = worker.entry;
@@ -537,12 +536,14 @@
   // One of many sees few of its own jobs run at once: its workers have to tell how many cores a kind has.
   void on(const ProbeResult& told) {
     if (const auto known = workers_.find(told.worker); known != workers_.end())
-      learn_cores(*known->second.kind, told.load.value_or(LoadReport{}));
+      hear(known->second, told.load.value_or(LoadReport{}));
   }
 
-  void learn_cores(Kind& kind, const LoadReport& load) {
+  void hear(Worker& worker, const LoadReport& load) {
+    if (load.held) worker.peers += kSmoothing * (std::max(0.0, *load.held - worker.jobs - 1) - worker.peers);
     // Held jobs that wait are told apart only while there are free slots.
     if (!load.free_slots || (load.held && *load.free_slots < 1)) return;
+    Kind& kind = *worker.kind;
     // What it has at work is what it serves in a second times how long each takes.
     const double served = load.served_per_s.value_or(0) * load.latency_s.value_or(0);
     const double at_work = load.held.value_or(served - load.queue.value_or(0));
@@ -690,9 +691,8 @@
   Micros now_{0};
   std::vector<Action>* actions_ = nullptr;
   bool started_ = false, listening_ = false;  // listening: subscribed to the list, as far as we know
-  int asks_failed_ = 0;
+  int asks_failed_ = 0, sharers_ = 1;         // sharers: processes that take our turns at cold workers
   Micros ask_at_{0}, all_ask_{0};
-  int sharers_ = 1;  // processes that take our turns at cold workers
   std::map<std::string, Worker> workers_;
   std::map<std::string, Ban> bans_;  // by worker
   std::map<std::string, Job> jobs_;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -71,6 +71,27 @@
   }
 }
 
+// One dispatcher with most of the traffic beside many without: cut to its share, it refused half of its work
+// while all workers stood idle.
+TEST(LimiterBound, LeavesNoCoreIdleThatReportsShowToBeFree) {
+  for (const double peers : {0, 3}) {
+    Settings settings = one_of(8, 0);
+    settings.tells_start = false;
+    Driver d(settings);
+    d.list({entry("w")});
+    for (int i = 0; i < 60; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      d.ask(id);
+      d.pass(600ms);
+      LoadReport load;
+      load.free_slots = 3 - peers;
+      load.held = 1 + peers;
+      d.feed(Outcome{id, 0, Status::ok, 0us, true, load});
+    }
+    EXPECT_EQ(admitted(d, "b"), peers == 0 ? 3 : 1);
+  }
+}
+
 // A p95 of few samples is their maximum: one long job must not cut a healthy worker.
 TEST_F(Limiter, OneLongJobAmongFewDoesNotCut) {
   const int before = admitted(d, "a");
