Start many processes with faults between them: the laboratory's cluster command and its checker

Need: every piece of the cluster is to be proven by several real processes with faults injected between them.

New, src/lab/cluster: a scenario in TOML; a schedule of faults that the seed alone decides; relays that cut, stall, pass one way, delay or change bytes by pair and time; discovery and the clients of each dispatcher as processes; a checker that judges from what clients saw, what discovery wrote to whom, and the workers' ledgers; a report with a time line for each dispatcher. Ledgers now say by which address and when an effect began. Ports of the laboratory's processes come from under those that the kernel deals out: two runs side by side took one another's.

Checked: each finding planted in the checker's test.

--- /dev/null
+++ b/src/lab/cluster/arena.hpp
@@ -0,0 +1,23 @@
+// A run: starts all processes, wires them through relays, strikes by the schedule, ends them, and has the
+// files judged.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "lab/cluster/judge.hpp"
+
+namespace woadtide::lab::cluster {
+
+struct RunSettings {
+  std::string dispatcher;  // the program under test
+  std::string self;        // the laboratory, for the other processes
+  std::string folder;      // for all files; kept
+  std::uint64_t seed = 1;
+  bool progress = false;  // a line every few seconds, on standard error
+};
+
+// Throws std::runtime_error where a process does not start or does not get ready.
+Findings run(const Scenario& scenario, const RunSettings& settings);
+
+}  // namespace woadtide::lab::cluster
--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -9,6 +9,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "core/clock.hpp"
+
 namespace woadtide::lab {
 
 using nlohmann::json;
@@ -35,7 +37,9 @@
                                  {"what", entry.what},
                                  {"epoch", entry.epoch},
                                  {"once", entry.once},
-                                 {"result", entry.result}})
+                                 {"result", entry.result},
+                                 {"via", entry.via},
+                                 {"at_ms", core::Clock().now()}})
                                .dump() +
                            '\n';
   const std::lock_guard lock(mutex_);
@@ -49,8 +53,8 @@
   for (std::string line; std::getline(file, line);) {
     const json object = json::parse(line, nullptr, false);
     if (!object.is_object() || !object.contains("key")) continue;
-    entries.push_back(
-        {object.at("key"), object.at("what"), object.at("epoch"), object.at("once"), object.at("result")});
+    entries.push_back({object.at("key"), object.at("what"), object.at("epoch"), object.at("once"),
+                       object.at("result"), object.value("via", ""), object.value("at_ms", 0.0)});
   }
   return entries;
 }
--- a/src/lab/ledger.hpp
+++ b/src/lab/ledger.hpp
@@ -16,6 +16,8 @@
   std::uint64_t epoch = 0;
   bool once = false;
   std::string result = {};
+  std::string via = {};  // the address that it was called by
+  double at_ms = 0;      // on the machine's clock; of a line that was read
 };
 
 class Ledger {
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -8,6 +8,9 @@
 #include <stdexcept>
 #include <string>
 
+#include "lab/cluster/arena.hpp"
+#include "lab/cluster/clients.hpp"
+#include "lab/cluster/registry.hpp"
 #include "lab/crash.hpp"
 #include "lab/worker.hpp"
 
@@ -17,7 +20,6 @@
 namespace lab = woadtide::lab;
 
 int run_worker(int port, const std::string& ledger, bool answers) {
-  std::signal(SIGPIPE, SIG_IGN);
   lab::Worker worker(port, ledger, answers, [](const lab::Begun& begun) {
     // The key decides, so that a run does not hang on which worker it meets.
     const std::size_t hash = std::hash<std::string>()(begun.key);
@@ -32,8 +34,19 @@
   for (;;) ::poll(nullptr, 0, 1'000);
 }
 
+int run_cluster(const std::string& scenario, const lab::cluster::RunSettings& settings) {
+  const lab::cluster::Findings found = lab::cluster::run(lab::cluster::read_scenario(scenario), settings);
+  std::cout << "seed " << settings.seed << ": " << found.summary() << '\n';
+  for (const std::string& line : found.lines) std::cout << "  " << line << '\n';
+  if (found.good()) return 0;
+  std::cout << "replay: woadtide-lab cluster --dispatcher " << settings.dispatcher << " --scenario "
+            << scenario << " --seed " << settings.seed << " --folder NEW; files in " << settings.folder
+            << '\n';
+  return 1;
+}
+
 int run(int argc, char** argv) {
-  std::string command, ledger, kind;
+  std::string command, ledger, kind, plan, record, to, scenario;
   lab::CrashSettings crash;
   int port = 0;
   bool plain = false, no_faults = false;
@@ -48,7 +61,11 @@
       "seed", options::value(&crash.seed)->default_value(crash.seed), "crash: of all that is drawn")(
       "plain", options::bool_switch(&plain), "crash: workers cannot be asked")(
       "no-faults", options::bool_switch(&no_faults), "crash: no ends within the store")(
-      "kind", options::value(&kind), "points: kill, torn, fail or full");
+      "kind", options::value(&kind), "points: kill, torn, fail or full")(
+      "scenario", options::value(&scenario), "cluster: the TOML file of a run")(
+      "plan", options::value(&plan), "registry, clients: the run's plan")(
+      "record", options::value(&record), "registry, clients: where they write what they saw")(
+      "to", options::value(&to), "clients: of which dispatcher");
   options::options_description all(shown);
   all.add_options()("command", options::value(&command));
   options::positional_options_description places;
@@ -61,26 +78,34 @@
                  "  crash    kill the dispatcher and workers at random, and judge the history\n"
                  "  check    judge the history and the ledgers that a run left in its folder\n"
                  "  points   one fault at every operation of the dispatcher's store in turn\n"
-                 "  worker   a stand-in worker\n\n"
+                 "  cluster  many processes with faults between them, by a scenario; judges their files\n"
+                 "  worker   a stand-in worker\n"
+                 "  registry, clients   processes that cluster starts\n\n"
               << shown;
     return 0;
   }
+  std::signal(SIGPIPE, SIG_IGN);
   if (command == "worker") return run_worker(port, ledger, values.count("answers") > 0);
+  if (command == "registry") lab::cluster::run_registry(plan, record);
+  if (command == "clients") return lab::cluster::run_clients(plan, to, record), 0;
   if (command == "check") {
     const lab::Verdict verdict = lab::judge_folder(crash.folder);
     std::cout << verdict.summary() << '\n';
     for (const std::string& line : verdict.lines) std::cout << "  " << line << '\n';
     return verdict.good() ? 0 : 1;
   }
-  if (command != "crash" && command != "points")
+  if (command != "crash" && command != "points" && command != "cluster")
     throw std::runtime_error("unknown command '" + command + "'");
   if (crash.dispatcher.empty() || crash.folder.empty())
-    throw std::runtime_error("crash wants --dispatcher PROGRAM and --folder FOLDER");
+    throw std::runtime_error(command + " wants --dispatcher PROGRAM and --folder FOLDER");
   if (std::filesystem::exists(crash.folder)) throw std::runtime_error(crash.folder + " is there already");
   crash.answers = !plain;
   crash.faults = !no_faults;
-  std::signal(SIGPIPE, SIG_IGN);
   const std::string self = std::filesystem::read_symlink("/proc/self/exe").string();
+  if (command == "cluster") {
+    if (scenario.empty()) throw std::runtime_error("cluster wants --scenario FILE");
+    return run_cluster(scenario, {crash.dispatcher, self, crash.folder, crash.seed, true});
+  }
   if (command == "points") {
     const auto points = lab::run_points(crash, kind, self);
     std::cout << kind << ": " << points.runs << " points, the last one untouched; died at " << points.ended
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -64,12 +64,19 @@
   return status;
 }
 
+// Under those that the kernel deals out to connects, so that none is taken between here and its process;
+// apart for runs side by side.
 std::vector<int> free_ports(std::size_t count) {
+  constexpr int kFrom = 12'000, kTo = 30'000, kApart = 97;
   std::vector<net::Socket> held;
   std::vector<int> ports;
-  for (std::size_t i = 0; i < count; ++i) {
-    held.push_back(net::Socket::listen_at(net::Address("127.0.0.1:0")));
-    ports.push_back(held.back().port());
+  for (int port = kFrom + ::getpid() * kApart % (kTo - kFrom); ports.size() < count; ++port) {
+    if (port >= kTo) port = kFrom;
+    try {
+      held.push_back(net::Socket::listen_at(net::Address("127.0.0.1:" + std::to_string(port))));
+      ports.push_back(port);
+    } catch (const std::system_error&) {  // somebody is there
+    }
   }
   return ports;
 }
--- a/src/lab/worker.cpp
+++ b/src/lab/worker.cpp
@@ -50,6 +50,7 @@
     begun.key = head.find("X-Job-Key").value_or(begun.id);
     begun.epoch = net::whole_number(head.find("X-Job-Epoch").value_or("0")).value_or(0);
     begun.lease = head.find("X-Job-Lease").value_or("");
+    begun.host = head.find("Host").value_or("");
     begun.once = head.find("X-Call-Class").value_or("") == "refund-payout";
     intake.use(*length);
     net::BodyDecoder decoder(framing);
@@ -118,7 +119,7 @@
     known.begun = known.here = true;
     known.ended.clear();
   }
-  if (ledger_) ledger_->add({begun.key, "begun", begun.epoch, begun.once, {}});
+  if (ledger_) ledger_->add({begun.key, "begun", begun.epoch, begun.once, {}, begun.host});
   executions_ += 1;
   bool up = write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") &&
             line(socket, begun, "started");
--- a/src/lab/worker.hpp
+++ b/src/lab/worker.hpp
@@ -26,7 +26,7 @@
   std::string result = {};  // empty: "done KEY"
 };
 struct Begun {
-  std::string id, key, body, lease;
+  std::string id, key, body, lease, host;
   std::uint64_t epoch = 0;
   bool once = false;
 };
