Let a repeat that a window guards begin within it, or not at all

Need: a deduplicated class may be repeated in the hall of the first for a window from its first send. The module chose within the window, but balance.cpp send() told nobody, and a connect (60 ms and more), a parked link or a queue for a thread could carry the first byte past its end, where the worker no longer knows a repeat for one.

Change: Send says until when; the last look before a first byte, where drains and bans are looked at too, holds it back and reports it as not sent, so the module fails the query as its class wants. First attempts and other classes have no such time.

The story of the link and the module's case fail without it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -50,10 +50,9 @@
 // Of one class at one worker: a worker may fail or hang for some of what it gets and serve the rest well.
 struct Health {
   int failures = 0, jobs = 0;  // since the last good answer; attempts of ours out
-  int bars = 0;                // failures that led to a bar, in a row
   Micros barred_until{0};
-  int trial_left = 0;  // good answers still wanted before it is trusted again
-  bool mute = false;   // a job of ours should have started and did not
+  int bars = 0, trial_left = 0;  // failures that led to a bar, in a row; good answers wanted for trust
+  bool mute = false;             // a job of ours should have started and did not
 };
 
 // An attempt that we wait for no more, still on its worker's slots: a cancel or a time-out stops nothing.
@@ -390,11 +389,13 @@
     worker.work += job.work;
     worker.last_cycle = worker.next_cycle;
     job.attempts.push_back({worker.entry.worker, now_, std::nullopt, true});
-    actions_->push_back(Send{job.request.id, worker.entry.worker, Micros{0}});
+    const bool repeats = class_of(job).effect == Effect::keyed && job.may_have_run;
+    const Micros not_after = repeats ? *job.may_have_run + class_of(job).window : Micros{0};
+    actions_->push_back(Send{job.request.id, worker.entry.worker, Micros{0}, not_after});
     if (!settings_.tells_start) return;
     const double patience = std::max(2 * expected_wait(worker), seconds(job.threshold) / 4);
-    const std::string number = std::to_string(job.attempts.size() - 1);
-    set_timer("start " + number + ' ' + job.request.id, seconds_span(patience));
+    set_timer("start " + std::to_string(job.attempts.size() - 1) + ' ' + job.request.id,
+              seconds_span(patience));
   }
 
   void answer(Job& job) {
@@ -541,8 +542,7 @@
 
   void hear(Worker& worker, const LoadReport& load) {
     if (load.held) worker.peers += kSmoothing * (std::max(0.0, *load.held - worker.jobs - 1) - worker.peers);
-    // Held jobs that wait are told apart only while there are free slots.
-    if (!load.free_slots || (load.held && *load.free_slots < 1)) return;
+    if (!load.free_slots || (load.held && *load.free_slots < 1)) return;  // held ones wait, too, when full
     Kind& kind = *worker.kind;
     // What it has at work is what it serves in a second times how long each takes.
     const double served = load.served_per_s.value_or(0) * load.latency_s.value_or(0);
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -234,7 +234,8 @@
   counts_.executions += 1;
   if (action.timeout.count() > 0)
     timers_.emplace(std::min(now + to_ms(action.timeout), open.deadline), Timer{key.query, key.attempt});
-  executor_.start({key, action.worker, open.parcel, open.deadline});
+  const double not_after = action.not_after.count() > 0 ? to_ms(action.not_after) : Execution::kAlways;
+  executor_.start({key, action.worker, open.parcel, open.deadline, not_after});
 }
 
 void DecisionLoop::act(const woadtide::Refuse& action) {
--- a/src/core/query.hpp
+++ b/src/core/query.hpp
@@ -56,6 +56,8 @@
   std::string worker;
   Parcel parcel;
   double deadline = 0;
+  double not_after = kAlways;  // its first byte goes out by then, or none does: Status::moot
+  static constexpr double kAlways = 1e18;
 };
 
 // Carries out executions and reports each one's ending, exactly once, to the Inbox. No call may block.
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -319,6 +319,8 @@
   if (!host || host->state != woadtide::WorkerState::ready) return broken(link, Status::connect_failed);
   // Nor to one that an operator has taken out meanwhile. It says nothing of the worker.
   if (is_excluded(execution.worker)) return Ending{Status::moot};
+  // Nor a repeat that its worker would not know for one any more: the connect, or a queue, took its time.
+  if (clock_.now() + link.settle_ms > execution.not_after) return Ending{Status::moot};
   const std::string head = head_for(execution, task.host.dial, execution.deadline - clock_.now());
   std::vector<std::string_view> parts{head};
   for (const std::string_view piece : execution.parcel.body)
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -594,6 +594,28 @@
   CHECK(bench.sent == 1);  // what was written whole, and no probe
 }
 
+// Guards a deduplicated class: the connect can outlive the window in which a repeat is known for one.
+TEST_CASE(
+    "a repeat whose window has ended by the time the link is up gets no byte, and is no news of the worker") {
+  Bench bench("Ready");
+  for (const double not_after : {kNow - 1, kNow + 60'000}) {
+    core::Execution execution;
+    execution.key = {"q", 0};
+    execution.worker = "w";
+    execution.parcel = {nullptr, "POST", "/api", "X-Call-Id: 1\r\n", {"pay"}};
+    execution.deadline = kNow + 60'000;
+    execution.not_after = not_after;
+    bench.servers.start(std::move(execution));
+    Peer link = bench.worker.accept();
+    if (not_after > kNow) {
+      CHECK(link.message().ends_with("pay"));
+    } else {
+      CHECK(bench.ending() == Status::moot);
+      CHECK(link.closed());
+    }
+  }
+}
+
 TEST_CASE("a probe over a link that is kept brings the worker's report, and the link serves on") {
   Bench bench("Ready");
   Peer link = bench.kept_link();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -40,6 +40,12 @@
   const std::string second = d.finish("j", Status::error);
   ASSERT_FALSE(second.empty());
   EXPECT_EQ(second[0], 'b');
+  // Nor may it begin later, whatever holds it up on its way; a first attempt may.
+  std::vector<Micros> not_after;
+  for (const Action& action : d.all)
+    if (const auto* send = std::get_if<Send>(&action); send && send->id == "j")
+      not_after.push_back(send->not_after);
+  EXPECT_EQ(not_after, (std::vector<Micros>{0us, 1s + 2s}));
   d.pass(2s);  // the window counts from the first send that may have run
   EXPECT_EQ(d.finish("j", Status::error, 1), "");
   EXPECT_TRUE(d.did<Fail>());
