--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -154,7 +154,7 @@
   std::string id;
   std::string worker;
   Micros timeout{0};  // 0: till the client gives up
-  // A repeat that only a window guards must have begun by then, or not at all, which is Status::moot. 0: none.
+  // A repeat that only a window guards must have begun by then; else it is not sent: Status::moot. 0: none.
   Micros not_after{0};
 };
 struct Refuse {  // final: a retry does no harm
