--- a/src/lab/cluster/arena.cpp
+++ b/src/lab/cluster/arena.cpp
@@ -62,10 +62,11 @@
       if (box.process.alive()) ::kill(box.process.pid(), SIGTERM);  // all at once: an end takes seconds
     for (auto& [name, box] : boxes_) end(name, box);
     registry_.kill();
-    Findings found = judge(plan_, read_books(plan_, settings_.folder));
+    const Books books = read_books(plan_, settings_.folder);
+    Findings found = judge(plan_, books);
     found.crashes = static_cast<int>(crashes_.size());
     found.lines.insert(found.lines.end(), crashes_.begin(), crashes_.end());
-    write_report(plan_, read_books(plan_, settings_.folder), found, file("report.html"));
+    write_report(plan_, books, found, file("report.html"));
     return found;
   }
 
