--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -19,6 +19,7 @@
 constexpr const char* kSchema = R"({
   "type": "object", "additionalProperties": false,
   "properties": {
+    "format": {"type": "integer", "minimum": 1},
     "jobs": {
       "type": "object", "additionalProperties": false,
       "properties": {
@@ -42,6 +43,48 @@
         "format": {"type": "string", "enum": ["text", "json"]},
         "queue": {"type": "integer", "minimum": 16, "maximum": 1000000}
       }
+    },
+    "supervise": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "folder": {"type": "string", "minLength": 1},
+        "config": {"type": "string", "minLength": 1},
+        "control": {"type": "string", "pattern": "^[^ ]+:[0-9]+$"},
+        "zone": {"type": "string"},
+        "management": {"type": "array", "minItems": 2, "maxItems": 2,
+          "items": {"type": "string", "pattern": "^[^ ]+:[0-9]+$"}},
+        "program": {"type": "string"},
+        "settings": {"type": "string"},
+        "ready_ms": {"type": "integer", "minimum": 100, "maximum": 600000},
+        "end_ms": {"type": "integer", "minimum": 4000, "maximum": 600000},
+        "good_ms": {"type": "integer", "minimum": 100, "maximum": 3600000},
+        "crashes": {"type": "integer", "minimum": 1, "maximum": 1000},
+        "backoff_ms": {"type": "integer", "minimum": 1, "maximum": 60000},
+        "most_backoff_ms": {"type": "integer", "minimum": 1, "maximum": 600000}
+      }
+    },
+    "rollout": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "folder": {"type": "string", "minLength": 1},
+        "members": {"type": "array", "maxItems": 1000, "items": {
+          "type": "object", "additionalProperties": false, "required": ["name", "control"],
+          "properties": {
+            "name": {"type": "string", "minLength": 1},
+            "zone": {"type": "string"},
+            "control": {"type": "string", "pattern": "^[^ ]+:[0-9]+$"}
+          }}},
+        "stages": {"type": "array", "items": {"type": "integer", "minimum": 1, "maximum": 1000}},
+        "turn_ms": {"type": "integer", "minimum": 50, "maximum": 60000},
+        "look_ms": {"type": "integer", "minimum": 0, "maximum": 3600000},
+        "bake_ms": {"type": "integer", "minimum": 0, "maximum": 86400000},
+        "patience_ms": {"type": "integer", "minimum": 0, "maximum": 86400000},
+        "step_ms": {"type": "integer", "minimum": 100, "maximum": 3600000},
+        "tries": {"type": "integer", "minimum": 1, "maximum": 100},
+        "margin": {"type": "number", "minimum": 0.001, "maximum": 0.5},
+        "false_stop": {"type": "number", "minimum": 0.000001, "maximum": 0.5},
+        "false_go": {"type": "number", "minimum": 0.000001, "maximum": 0.5}
+      }
     }
   }
 })";
@@ -119,6 +162,71 @@
   if (const auto found = part[key].value<Value>()) value = *found;
 }
 
+// The keys that a newer file has and this program does not know, taken out.
+void pass_over(const nlohmann::json& schema, toml::table& part, const std::string& at,
+               std::vector<std::string>& passed) {
+  const auto& known = schema.at("properties");
+  std::vector<std::string> unknown;
+  for (auto& [key, value] : part) {
+    const std::string name(key.str());
+    if (!known.contains(name))
+      unknown.push_back(name);
+    else if (value.is_table() && known.at(name).contains("properties"))
+      pass_over(known.at(name), *value.as_table(), at + name + '.', passed);
+  }
+  for (const std::string& name : unknown) {
+    passed.push_back(at + name);
+    part.erase(name);
+  }
+}
+
+void take_texts(const toml::table& part, const char* key, std::vector<std::string>& values) {
+  if (const auto* array = part[key].as_array())
+    for (const auto& value : *array) values.push_back(value.value_or<std::string>(""));
+}
+
+SupervisePart read_supervise(const toml::table& table) {
+  SupervisePart part;
+  take(table, "folder", part.folder);
+  take(table, "config", part.config);
+  take(table, "control", part.control);
+  take(table, "zone", part.zone);
+  take_texts(table, "management", part.management);
+  take(table, "program", part.program);
+  take(table, "settings", part.settings);
+  take(table, "ready_ms", part.ready_ms);
+  take(table, "end_ms", part.end_ms);
+  take(table, "good_ms", part.good_ms);
+  take(table, "crashes", part.crashes);
+  take(table, "backoff_ms", part.backoff_ms);
+  take(table, "most_backoff_ms", part.most_backoff_ms);
+  return part;
+}
+
+RolloutPart read_rollout(const toml::table& table) {
+  RolloutPart part;
+  take(table, "folder", part.folder);
+  if (const auto* members = table["members"].as_array())
+    for (const auto& one : *members) {
+      RolloutPart::Member& member = part.members.emplace_back();
+      take(*one.as_table(), "name", member.name);
+      take(*one.as_table(), "zone", member.zone);
+      take(*one.as_table(), "control", member.control);
+    }
+  if (const auto* stages = table["stages"].as_array())
+    for (const auto& stage : *stages) part.stages.push_back(stage.value_or(0));
+  take(table, "turn_ms", part.turn_ms);
+  take(table, "look_ms", part.look_ms);
+  take(table, "bake_ms", part.bake_ms);
+  take(table, "patience_ms", part.patience_ms);
+  take(table, "step_ms", part.step_ms);
+  take(table, "tries", part.tries);
+  take(table, "margin", part.margin);
+  take(table, "false_stop", part.false_stop);
+  take(table, "false_go", part.false_go);
+  return part;
+}
+
 }  // namespace
 
 OperatorFile load_operator_file(const std::string& path) {
@@ -129,9 +237,15 @@
     throw std::runtime_error(path + ':' + std::to_string(wrong.source().begin.line) + ": " +
                              std::string(wrong.description()));
   }
+  OperatorFile file;
+  take(whole, "format", file.format);
+  if (file.format > kFileFormat + 1)
+    throw std::runtime_error(path + ':' + std::to_string(whole["format"].node()->source().begin.line) +
+                             ": format: " + std::to_string(file.format) + " is more than one step from " +
+                             std::to_string(kFileFormat) + ", which this program reads");
+  if (file.format > kFileFormat) pass_over(nlohmann::json::parse(kSchema), whole, "", file.passed_over);
   const std::string wrong = first_wrong(whole, as_json(whole));
   if (!wrong.empty()) throw std::runtime_error(path + ':' + wrong);
-  OperatorFile file;
   if (const auto* jobs = whole["jobs"].as_table()) {
     JobsPart& part = file.jobs;
     take(*jobs, "enabled", part.enabled);
@@ -157,6 +271,8 @@
     file.log.json = format == "json";
     take(*log, "queue", file.log.queue);
   }
+  if (const auto* supervise = whole["supervise"].as_table()) file.supervise = read_supervise(*supervise);
+  if (const auto* rollout = whole["rollout"].as_table()) file.rollout = read_rollout(*rollout);
   return file;
 }
 
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "core/kin.hpp"
 #include "wire.hpp"
 
 namespace woadtide::core {
@@ -54,4 +55,8 @@
   }
 }
 
+std::string version_line(const Config& config) {
+  return config.version + " kin " + std::to_string(kKinVersion) + " settings " + config.settings_id;
+}
+
 }  // namespace woadtide::core
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -20,6 +20,7 @@
                            std::uint64_t seed, Clock& clock, Inbox& inbox, Executor& executor,
                            HostSource& hosts, Kin& kin, Witness* witness)
     : class_names_(std::move(class_names)),
+      classes_(settings.classes),
       report_x0_(settings.report_x0),
       report_x1_(settings.report_x1),
       dispatcher_(std::move(settings), seed),
@@ -76,8 +77,18 @@
     return message.asker->answer({AnswerKind::bad_query, wrong});
   }
   const auto class_index = static_cast<std::size_t>(name - class_names_.begin());
-  queries_.emplace(query.id,
-                   Open{std::move(message.asker), std::move(query.parcel), class_index, query.deadline, {}});
+  const double now = clock_.now();
+  const woadtide::ClassSettings& kind = classes_[class_index];
+  const double wanted_by =
+      kind.aim ? now + to_ms(*kind.aim) + kind.stretch * query.cost_ms.value_or(0) : query.deadline;
+  totals_[class_index].figures.asked += 1;
+  queries_.emplace(query.id, Open{std::move(message.asker),
+                                  std::move(query.parcel),
+                                  class_index,
+                                  query.deadline,
+                                  now,
+                                  wanted_by,
+                                  {}});
   timers_.emplace(query.deadline, Timer{query.id, kWholeQuery});
   kin_.tell({Word::Kind::query, query.id});
   woadtide::Request request;
@@ -178,6 +189,7 @@
 
 void DecisionLoop::take(OperatorCall& message) {
   if (message.kind == OperatorCall::Kind::telemetry) return message.answer.set_value(telemetry());
+  if (message.kind == OperatorCall::Kind::figures) return message.answer.set_value(figures());
   const std::string& worker = message.worker;
   if (!dispatcher_.knows(worker)) return message.answer.set_value("error no worker has this id\n");
   const bool out = message.kind == OperatorCall::Kind::exclude;
@@ -267,10 +279,11 @@
 void DecisionLoop::settle(Open& open, Answer answer) {
   if (!open.asker) return;
   counts_.answers[static_cast<std::size_t>(answer.kind)] += 1;
-  Totals& totals = totals_[open.class_index];
-  (answer.kind == AnswerKind::served    ? totals.succeeded
-   : answer.kind == AnswerKind::refused ? totals.declined
-                                        : totals.aborted) += 1;
+  ClassFigures& figures = totals_[open.class_index].figures;
+  if (answer.kind == AnswerKind::served)
+    figures.add_served(clock_.now() - open.taken, clock_.now() > open.wanted_by);
+  else
+    (answer.kind == AnswerKind::refused ? figures.refused : figures.failed) += 1;
   std::exchange(open.asker, nullptr)->answer(std::move(answer));
 }
 
@@ -340,9 +353,9 @@
   };
   for (std::size_t i = 0; i < totals_.size(); ++i) {
     const Totals& totals = totals_[i];
-    for (const auto& [name, value] : {std::pair{"succeeded.", totals.succeeded},
-                                      {"declined.", totals.declined},
-                                      {"aborted.", totals.aborted},
+    for (const auto& [name, value] : {std::pair{"succeeded.", totals.figures.served},
+                                      {"declined.", totals.figures.refused},
+                                      {"aborted.", totals.figures.failed},
                                       {"forwards.", totals.forwards}})
       line(name + class_names_[i], value, "|c\n");
   }
@@ -355,6 +368,13 @@
   return text + "end\n";
 }
 
+// One JSON object, for whoever compares dispatchers: counts run from the start of the process.
+std::string DecisionLoop::figures() const {
+  Figures all;
+  for (std::size_t i = 0; i < totals_.size(); ++i) all[class_names_[i]] = totals_[i].figures;
+  return "done " + text_of(all) + "\n";
+}
+
 void DecisionLoop::report_counts() {
   counted_since_ = clock_.now();
   const Counts counts = std::exchange(counts_, {});
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/clock.hpp"
+#include "core/figures.hpp"
 #include "core/inbox.hpp"
 #include "core/query.hpp"
 #include "woadtide/balance.hpp"
@@ -38,6 +39,7 @@
     Parcel parcel;
     std::size_t class_index = 0;
     double deadline = 0;
+    double taken = 0, wanted_by = 0;  // wanted_by: served later it counts as late
     std::vector<Running> executions;
     bool may_have_run = false;
   };
@@ -51,7 +53,8 @@
     int queries = 0, executions = 0, failures = 0, gone = 0;
   };
   struct Totals {  // of a class, since the start
-    std::uint64_t succeeded = 0, declined = 0, aborted = 0, forwards = 0;
+    std::uint64_t forwards = 0;
+    ClassFigures figures;
   };
   using Queries = std::map<std::string, Open>;
   // Ids of queries that are over and may have run, the newest of them.
@@ -103,8 +106,10 @@
   void fire_due();
   void report_counts();
   std::string telemetry() const;
+  std::string figures() const;
 
   std::vector<std::string> class_names_;
+  std::vector<woadtide::ClassSettings> classes_;
   std::string report_x0_, report_x1_;
   woadtide::Dispatcher dispatcher_;
   Clock& clock_;
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -59,7 +59,7 @@
   int processes = 1;
 };
 struct OperatorCall {
-  enum class Kind { exclude, include, telemetry };
+  enum class Kind { exclude, include, telemetry, figures };
   Kind kind = Kind::exclude;
   std::string worker = {};
   std::promise<std::string> answer;  // kept once the call holds: whole lines
--- a/src/core/kin.hpp
+++ b/src/core/kin.hpp
@@ -5,6 +5,10 @@
 
 namespace woadtide::core {
 
+// Of what two processes say to each other. One step apart they understand each other: a word that one does
+// not know is passed over. Version 1 said none.
+constexpr int kKinVersion = 2;
+
 struct Word {
   enum class Kind {
     exclude,  // a worker, by an operator
--- a/src/lab/cluster/arena.hpp
+++ b/src/lab/cluster/arena.hpp
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "lab/cluster/change_judge.hpp"
 #include "lab/cluster/judge.hpp"
 
 namespace woadtide::lab::cluster {
@@ -18,6 +20,11 @@
 };
 
 // Throws std::runtime_error where a process does not start or does not get ready.
-Findings run(const Scenario& scenario, const RunSettings& settings);
+struct Run {
+  Findings findings;
+  std::optional<ChangeFindings> change;  // where the scenario has one
+  bool good() const { return findings.good() && (!change || change->good()); }
+};
+Run run(const Scenario& scenario, const RunSettings& settings);
 
 }  // namespace woadtide::lab::cluster
--- a/src/lab/cluster/plan.cpp
+++ b/src/lab/cluster/plan.cpp
@@ -47,6 +47,7 @@
                                {"grace_ms", s.grace_ms},
                                {"faults", std::move(faults)},
                                {"registry_port", plan.registry_port},
+                               {"zones", plan.zones},
                                {"discovery", plan.discovery},
                                {"clients", plan.clients},
                                {"worker_dials", plan.workers}})
@@ -74,6 +75,7 @@
       plan.faults.push_back({one.at("from_ms"), one.at("to_ms"),
                              kind_of(one.at("kind").get<std::string>()).value(), one.at("at"), one.at("to")});
     plan.registry_port = object.at("registry_port");
+    object.at("zones").get_to(plan.zones);
     object.at("discovery").get_to(plan.discovery);
     object.at("clients").get_to(plan.clients);
     object.at("worker_dials").get_to(plan.workers);
--- a/src/lab/cluster/plan.hpp
+++ b/src/lab/cluster/plan.hpp
@@ -16,6 +16,7 @@
   double start_ms = 0;  // on the machine's clock; all times below count from here
   std::vector<Fault> faults;
   int registry_port = 0;
+  std::map<std::string, std::string> zones;  // by process
   // By dispatcher: where it reaches discovery, each worker, and where its clients reach it; all relays.
   std::map<std::string, std::string> discovery, clients;
   std::map<std::string, std::map<std::string, std::string>> workers;
--- a/src/lab/cluster/registry.cpp
+++ b/src/lab/cluster/registry.cpp
@@ -54,7 +54,7 @@
     for (const auto& [worker, dial] : plan_.workers.at(dispatcher))
       hosts.push_back({{"host", worker},
                        {"dial", dial},
-                       {"site", "a"},
+                       {"site", plan_.zones.at(worker)},
                        {"class", "lab"},
                        {"health", states.at(worker) ? "Terminating" : "Ready"},
                        {"born_ms", 0}});
--- a/src/lab/cluster/relay.cpp
+++ b/src/lab/cluster/relay.cpp
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -40,25 +41,39 @@
 
 void Relays::set(const std::string& from, const std::string& to, std::optional<Kind> fault) {
   const std::lock_guard lock(mutex_);
-  pairs_.at({from, to}).fault = fault;
+  Pair& pair = pairs_.at({from, to});
+  pair.fault = fault;
+  pair.look = true;
 }
 
-// All links are looked at in each turn: a run has some hundred, and none of them is measured for speed.
+// Pairs are never taken out, so that one may be named outside the mutex.
 void Relays::run() {
+  std::vector<pollfd> all;
+  std::vector<Pair*> of;
   while (!ending_) {
-    std::vector<pollfd> all;
     {
       const std::lock_guard lock(mutex_);
+      for (std::size_t i = 0; i < all.size(); ++i)
+        if (all[i].revents != 0) of[i]->look = true;
+      all.clear();
+      of.clear();
       for (auto& [names, pair] : pairs_) {
-        accept_at(pair);
-        std::erase_if(pair.pipes, [&](Pipe& pipe) { return !go_on(pair, pipe); });
+        if (std::exchange(pair.look, false)) {
+          accept_at(pair);
+          std::erase_if(pair.pipes, [&](Pipe& pipe) { return !go_on(pair, pipe); });
+          pair.look = std::any_of(pair.pipes.begin(), pair.pipes.end(), [](const Pipe& pipe) {
+            return !pipe.ways[0].held.empty() || !pipe.ways[1].held.empty();
+          });
+        }
         all.push_back({pair.listener.fd(), POLLIN, 0});
+        of.resize(all.size(), &pair);
         if (pair.fault == Kind::stall) continue;  // what waits there would wake us for nothing
         for (Pipe& pipe : pair.pipes)
           for (int end = 0; end < 2; ++end)
             if (pipe.ends[end] && !pipe.ways[end].ended && pipe.ways[end].bytes < kMostHeld &&
                 !(end == 1 && pair.fault == Kind::one_way))
               all.push_back({pipe.ends[end].fd(), POLLIN, 0});
+        of.resize(all.size(), &pair);
       }
     }
     ::poll(all.data(), all.size(), kTurnMs);
--- a/src/lab/cluster/relay.hpp
+++ b/src/lab/cluster/relay.hpp
@@ -53,6 +53,7 @@
     net::Address target;
     std::optional<Kind> fault;
     std::list<Pipe> pipes;
+    bool look = true;  // something is ready, held back, or another fault holds
   };
 
   void run();
--- a/src/lab/cluster/report.cpp
+++ b/src/lab/cluster/report.cpp
@@ -22,8 +22,13 @@
   switch (kind) {
     case Kind::kill:
     case Kind::worker_kill:
+    case Kind::supervisor_kill:
+    case Kind::controller_kill:
+    case Kind::controller_old:
       return "#d33";
     case Kind::stop:
+    case Kind::supervisor_stop:
+    case Kind::controller_stop:
       return "#b6f";
     case Kind::cut:
       return "#f80";
--- a/src/lab/cluster/scenario.cpp
+++ b/src/lab/cluster/scenario.cpp
@@ -50,9 +50,40 @@
       {"budget_ms", {100, 60'000, [&](double v) { read.budget_ms = v; }}},
       {"grace_ms", {0, 5'000, [&](double v) { read.grace_ms = v; }}},
       {"most_s", {0.1, 60, [&](double v) { read.most_s = v; }}},
+      {"zones", {1, 4, [&](double v) { read.zones = static_cast<int>(v); }}},
+  };
+  ChangePlan& change = read.change;
+  const std::map<std::string, Key> of_change = {
+      {"at_s", {0, 3'600, [&](double v) { change.at_s = v; }}},
+      {"abort_s", {0, 3'600, [&](double v) { change.abort_s = v; }}},
+      {"look_ms", {0, 600'000, [&](double v) { change.look_ms = v; }}},
+      {"bake_ms", {0, 600'000, [&](double v) { change.bake_ms = v; }}},
+      {"patience_ms", {0, 600'000, [&](double v) { change.patience_ms = v; }}},
+      {"step_ms", {100, 600'000, [&](double v) { change.step_ms = v; }}},
+      {"turn_ms", {50, 60'000, [&](double v) { change.turn_ms = v; }}},
+      {"margin", {0.001, 0.5, [&](double v) { change.margin = v; }}},
+      {"false_stop", {0.000001, 0.5, [&](double v) { change.false_stop = v; }}},
+      {"false_go", {0.000001, 0.5, [&](double v) { change.false_go = v; }}},
   };
   for (const auto& [name, node] : file) {
     const std::string key(name.str());
+    if (key == "change" && node.is_table()) {
+      change.on = true;
+      for (const auto& [part, value] : *node.as_table()) {
+        const std::string word(part.str());
+        const auto known = of_change.find(word);
+        if (word == "flaw" && value.is_string())
+          change.flaw = value.as_string()->get();
+        else if (word == "stages" && value.is_array())
+          for (const auto& stage : *value.as_array())
+            change.stages.push_back(static_cast<int>(number(path, "change.stages", stage, 1, 1'000)));
+        else if (known == of_change.end())
+          wrong(path, value, "change." + word + ": no such key");
+        else
+          known->second.set(number(path, "change." + word, value, known->second.least, known->second.most));
+      }
+      continue;
+    }
     if (key == "faults" && node.is_table()) {
       for (const auto& [kind, count] : *node.as_table()) {
         const std::string word(kind.str());
@@ -61,6 +92,10 @@
       }
       continue;
     }
+    if (key == "steady" && node.is_boolean()) {
+      read.steady = node.as_boolean()->get();
+      continue;
+    }
     const auto known = keys.find(key);
     if (known == keys.end()) wrong(path, node, key + ": no such key");
     known->second.set(number(path, key, node, known->second.least, known->second.most));
--- a/src/lab/cluster/schedule.cpp
+++ b/src/lab/cluster/schedule.cpp
@@ -10,15 +10,20 @@
 namespace woadtide::lab::cluster {
 
 namespace {
-constexpr std::array<std::pair<const char*, Kind>, 9> kWords = {{{"kill", Kind::kill},
-                                                                 {"stop", Kind::stop},
-                                                                 {"worker_kill", Kind::worker_kill},
-                                                                 {"cut", Kind::cut},
-                                                                 {"stall", Kind::stall},
-                                                                 {"one_way", Kind::one_way},
-                                                                 {"delay", Kind::delay},
-                                                                 {"corrupt", Kind::corrupt},
-                                                                 {"drain", Kind::drain}}};
+constexpr std::array<std::pair<const char*, Kind>, 14> kWords = {{{"kill", Kind::kill},
+                                                                  {"stop", Kind::stop},
+                                                                  {"worker_kill", Kind::worker_kill},
+                                                                  {"cut", Kind::cut},
+                                                                  {"stall", Kind::stall},
+                                                                  {"one_way", Kind::one_way},
+                                                                  {"delay", Kind::delay},
+                                                                  {"corrupt", Kind::corrupt},
+                                                                  {"drain", Kind::drain},
+                                                                  {"supervisor_kill", Kind::supervisor_kill},
+                                                                  {"supervisor_stop", Kind::supervisor_stop},
+                                                                  {"controller_kill", Kind::controller_kill},
+                                                                  {"controller_stop", Kind::controller_stop},
+                                                                  {"controller_old", Kind::controller_old}}};
 constexpr double kLeastMs = 50, kDrainMs = 700;
 }  // namespace
 
@@ -58,12 +63,16 @@
       const std::string node = "n" + std::to_string(dice(scenario.dispatchers));
       const std::string worker = "w" + std::to_string(dice(scenario.workers));
       const bool of_worker = fault.kind == Kind::worker_kill || fault.kind == Kind::drain;
-      fault.at = of_worker ? worker : node;
+      fault.at = of_worker ? worker : is_of_controller(fault.kind) ? "control" : node;
       if (is_of_link(fault.kind)) {
         // Most links are those to workers; a dispatcher has one to discovery and one from its clients.
-        const int which = dice(scenario.workers + 2);
+        const int which = dice(scenario.workers + (scenario.change.on ? 4 : 2));
         fault.to = which == 0 ? "discovery" : which == 1 ? node : worker;
         if (which == 1) fault.at = "clients";
+        if (which > scenario.workers + 1) {
+          fault.at = "control";
+          fault.to = node;
+        }
       }
       faults.push_back(fault);
     }
--- a/src/lab/cluster/schedule.hpp
+++ b/src/lab/cluster/schedule.hpp
@@ -14,8 +14,26 @@
 // kill, stop (SIGSTOP, then SIGCONT), worker_kill: of a process; the killed are started again at the end.
 // cut: links are reset and new ones too; stall: new links come up, nothing passes; one_way: nothing passes
 // back; delay: each piece comes late; corrupt: one byte of each piece is another one. drain: discovery lists
-// the worker as Terminating, then as Ready again.
-enum class Kind { kill, stop, worker_kill, cut, stall, one_way, delay, corrupt, drain };
+// the worker as Terminating, then as Ready again. Of a run with a change: supervisor_kill, supervisor_stop,
+// controller_kill, controller_stop, and controller_old: it is killed, and finds an older copy of its state.
+enum class Kind {
+  kill,
+  stop,
+  worker_kill,
+  cut,
+  stall,
+  one_way,
+  delay,
+  corrupt,
+  drain,
+  supervisor_kill,
+  supervisor_stop,
+  controller_kill,
+  controller_stop,
+  controller_old
+};
+inline bool is_of_controller(Kind kind) { return kind >= Kind::controller_kill; }
+inline bool is_of_change(Kind kind) { return kind >= Kind::supervisor_kill; }
 std::optional<Kind> kind_of(const std::string& word);
 std::string word_of(Kind kind);
 inline bool is_of_link(Kind kind) {
@@ -27,7 +45,7 @@
   double from_ms = 0, to_ms = 0;  // since the run's start
   Kind kind = Kind::kill;
   std::string at;       // who: "n0", "w2"
-  std::string to = {};  // of a link: at -> to. Clients are "clients", discovery is "discovery"
+  std::string to = {};  // of a link: at -> to. "clients", "discovery", "control" for the controller
 };
 
 // By time. Every fault ends at least a tenth of the run before the run does.
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -19,12 +19,13 @@
 namespace options = boost::program_options;
 namespace lab = woadtide::lab;
 
-int run_worker(int port, const std::string& ledger, bool answers) {
-  lab::Worker worker(port, ledger, answers, [](const lab::Begun& begun) {
+int run_worker(int port, const std::string& ledger, bool answers, bool steady) {
+  lab::Worker worker(port, ledger, answers, [steady](const lab::Begun& begun) {
     // The key decides, so that a run does not hang on which worker it meets.
     const std::size_t hash = std::hash<std::string>()(begun.key);
     lab::Plan plan;
-    plan.run_ms = static_cast<double>(2 + hash % 60);
+    plan.run_ms = static_cast<double>(steady ? 5 + hash % 26 : 2 + hash % 60);
+    if (steady) return plan;
     plan.heartbeat_ms = hash % 3 == 0 ? 10 : 0;
     if (hash % 97 == 0) plan.run_ms = 900;  // longer than a lease, without a heartbeat or with some
     if (hash % 41 == 0) plan.end = lab::Plan::End::failed;
@@ -35,10 +36,12 @@
 }
 
 int run_cluster(const std::string& scenario, const lab::cluster::RunSettings& settings) {
-  const lab::cluster::Findings found = lab::cluster::run(lab::cluster::read_scenario(scenario), settings);
+  const lab::cluster::Run run = lab::cluster::run(lab::cluster::read_scenario(scenario), settings);
+  const lab::cluster::Findings& found = run.findings;
   std::cout << "seed " << settings.seed << ": " << found.summary() << '\n';
+  if (run.change) std::cout << "seed " << settings.seed << ": " << run.change->summary() << '\n';
   for (const std::string& line : found.lines) std::cout << "  " << line << '\n';
-  if (found.good()) return 0;
+  if (run.good()) return 0;
   std::cout << "replay: woadtide-lab cluster --dispatcher " << settings.dispatcher << " --scenario "
             << scenario << " --seed " << settings.seed << " --folder NEW; files in " << settings.folder
             << '\n';
@@ -49,10 +52,11 @@
   std::string command, ledger, kind, plan, record, to, scenario;
   lab::CrashSettings crash;
   int port = 0;
-  bool plain = false, no_faults = false;
+  bool plain = false, no_faults = false, steady = false;
   options::options_description shown("Options");
   shown.add_options()("help,h", "print this page")("port", options::value(&port), "worker: where it listens")(
       "ledger", options::value(&ledger), "worker: its books")("answers", "worker: may be asked about jobs")(
+      "steady", options::bool_switch(&steady), "worker: all that it does takes 5 to 30 ms, and ends well")(
       "dispatcher", options::value(&crash.dispatcher), "crash: the program under test")(
       "folder", options::value(&crash.folder), "crash, points, check: for all files")(
       "kills", options::value(&crash.kills)->default_value(crash.kills), "crash: how many")(
@@ -85,7 +89,7 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  if (command == "worker") return run_worker(port, ledger, values.count("answers") > 0);
+  if (command == "worker") return run_worker(port, ledger, values.count("answers") > 0, steady);
   if (command == "registry") lab::cluster::run_registry(plan, record);
   if (command == "clients") return lab::cluster::run_clients(plan, to, record), 0;
   if (command == "check") {
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -26,6 +26,7 @@
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
   posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&files, 2, 1);
   const int error =
       ::posix_spawn(&pid_, words.at(0).c_str(), &files, nullptr, arguments.data(), variables.data());
   posix_spawn_file_actions_destroy(&files);
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -13,7 +13,7 @@
 class Process {
  public:
   Process() = default;
-  // Standard error is appended to `log`. Throws std::system_error.
+  // Standard output and error are appended to `log`. Throws std::system_error.
   Process(const std::vector<std::string>& words, const std::map<std::string, std::string>& environment,
           const std::string& log);
   ~Process() { kill(); }
--- a/src/log/structured.hpp
+++ b/src/log/structured.hpp
@@ -13,6 +13,8 @@
   ~Structured();
   Structured(const Structured&) = delete;
   Structured& operator=(const Structured&) = delete;
+  // From here on, at any time.
+  void set_json(bool json);
 };
 
 }  // namespace woadtide::log
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -78,6 +78,12 @@
   return Socket{Fd(fd)};
 }
 
+Socket Socket::another() const {
+  Fd copy(::fcntl(fd(), F_DUPFD_CLOEXEC, 0));
+  if (!copy) throw std::system_error(errno, std::generic_category(), "a socket's other descriptor");
+  return Socket{std::move(copy)};
+}
+
 bool Socket::connect(const Address& address, double within_ms) {
   // On Linux the send timeout bounds a blocking connect too; a shut() from outside ends it early.
   const auto micros = static_cast<long>(std::max(within_ms, 1.0) * 1000);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -40,6 +40,9 @@
   // too: it must never be shut down. Throws std::runtime_error where it does not listen.
   static Socket adopt_listener(int fd);
 
+  // The same socket by another descriptor. Throws std::system_error.
+  Socket another() const;
+
   bool connect(const Address& address, double within_ms);
   // done: `got` bytes came, at least one.
   Io receive(char* to, std::size_t room, std::size_t& got, double deadline, const core::Clock& clock);
--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -1,19 +1,18 @@
 #include "net/succession.hpp"
 
-#include <fcntl.h>
 #include <sys/time.h>
-#include <sys/un.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <chrono>
-#include <cstdio>
-#include <cstring>
+#include <stdexcept>
 #include <system_error>
 
 #include "core/log.hpp"
+#include "net/unix_socket.hpp"
 
 namespace woadtide::net {
 
@@ -25,34 +24,7 @@
 constexpr std::size_t kMostPeers = 3;
 constexpr std::array<std::string_view, 6> kNames = {"exclude", "include", "query",
                                                     "told",    "ready",   "unready"};
-
-// A folder's path may be longer than a socket's may be: then it goes by its descriptor.
-struct Place {
-  Place(const std::string& folder, const std::string& name) : path(folder + '/' + name) {
-    if (path.size() < sizeof(sockaddr_un::sun_path)) return;
-    held = Fd(::open(folder.c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC));
-    path = "/proc/self/fd/" + std::to_string(held.get()) + '/' + name;
-  }
-  template <class Call>
-  bool call(Call&& use, const Socket& socket) const {
-    sockaddr_un address{};
-    address.sun_family = AF_UNIX;
-    if (path.size() >= sizeof address.sun_path) return false;
-    std::memcpy(address.sun_path, path.c_str(), path.size() + 1);
-    return use(socket.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
-  }
-  std::string path;
-  Fd held;
-};
-
-Socket make() { return Socket{Fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0))}; }
-
-// A folder for all could hold another user's.
-bool is_ours(const Socket& socket) {
-  ucred peer{};
-  socklen_t length = sizeof peer;
-  return ::getsockopt(socket.fd(), SOL_SOCKET, SO_PEERCRED, &peer, &length) == 0 && peer.uid == ::geteuid();
-}
+constexpr std::string_view kVersion = "version";
 
 }  // namespace
 
@@ -81,17 +53,14 @@
 // First to whoever listens there, then the place is taken over: the rename leaves no moment without a
 // listener.
 void Succession::meet(const std::string& folder, const std::string& name, double wait_ms) {
-  Socket link = make(), listener = make();
-  const Place place(folder, name), fresh(folder, name + '.' + std::to_string(::getpid()));
-  if (link && place.call(::connect, link) && is_ours(link)) {
+  Socket link = make_unix();
+  const UnixPlace place(folder, name), fresh(folder, name + '.' + std::to_string(::getpid()));
+  if (link && place.call(::connect, link) && peer_of(link) > 0) {
     core::log_line("upgrade: another process of this dispatcher runs");
     join(std::move(link));
   }
-  ::unlink(fresh.path.c_str());
-  if (listener && fresh.call(::bind, listener) && ::listen(listener.fd(), 4) == 0 &&
-      std::rename(fresh.path.c_str(), place.path.c_str()) == 0) {
-    listener_ = std::move(listener);
-    ::fcntl(listener_.fd(), F_SETFL, O_NONBLOCK);
+  listener_ = listen_over(place, fresh);
+  if (listener_) {
     token_ = park_.enter(*this, listener_.fd());
   } else {
     core::log_line("upgrade: no next process can find this one: " + std::generic_category().message(errno));
@@ -100,6 +69,11 @@
   const bool told = news_.wait_for(lock, std::chrono::duration<double, std::milli>(wait_ms), [this] {
     return std::all_of(peers_.begin(), peers_.end(), [](const Peer& p) { return p.told || p.over; });
   });
+  const auto unlike = std::find_if(peers_.begin(), peers_.end(), [](const Peer& p) { return p.unlike; });
+  if (unlike != peers_.end())
+    throw std::runtime_error("the process that runs speaks version " + std::to_string(unlike->version) +
+                             " between processes, this one " + std::to_string(core::kKinVersion) +
+                             ": they may be one step apart");
   if (!told) core::log_line("upgrade: the other process tells nothing; going on without");
 }
 
@@ -113,7 +87,7 @@
       return;
     }
     reap();
-    if (is_ours(link)) join(std::move(link));
+    if (peer_of(link) > 0) join(std::move(link));
   }
 }
 
@@ -123,6 +97,7 @@
     if (peers_.size() == kMostPeers) return;
     Peer& peer = peers_.emplace_back();
     peer.socket = std::move(socket);
+    peer.outbox = std::string(kVersion) + ' ' + std::to_string(core::kKinVersion) + '\n';
     if (ready_) put(peer, {Word::Kind::ready});
     alone_ = false;
     const timeval patience{0, 300'000};  // for a process that reads nothing, as one that was stopped
@@ -185,6 +160,8 @@
 
 void Succession::take(Peer& peer, const std::string& line) {
   const std::size_t space = std::min(line.find(' '), line.size());
+  if (line.substr(0, space) == kVersion)
+    return meet_version(peer, line.substr(std::min(space + 1, line.size())));
   const auto name = std::find(kNames.begin(), kNames.end(), std::string_view(line).substr(0, space));
   if (name == kNames.end()) return;  // another version's
   Word word{static_cast<Word::Kind>(name - kNames.begin()), line.substr(std::min(space + 1, line.size()))};
@@ -210,6 +187,20 @@
   inbox_.put(core::KinSaid{std::move(word)});
 }
 
+// One that says none is of the version before there were any. More than a step apart neither knows what the
+// other one's words leave out: the link ends, and who came second does not start.
+void Succession::meet_version(Peer& peer, const std::string& text) {
+  int version = 0;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  if (std::abs(version - core::kKinVersion) <= 1) return;
+  core::log_line("upgrade: refused: the other process speaks version " + std::to_string(version) +
+                 ", this one " + std::to_string(core::kKinVersion));
+  const std::lock_guard lock(mutex_);
+  peer.version = version;
+  peer.unlike = true;
+  peer.socket.shut();
+}
+
 void Succession::put(Peer& peer, const Word& word) {
   if (peer.over) return;
   if (peer.outbox.size() > kMostOutbox) return peer.socket.shut();  // it reads nothing: as good as ended
--- a/src/net/succession.hpp
+++ b/src/net/succession.hpp
@@ -27,7 +27,8 @@
   Succession& operator=(const Succession&) = delete;
 
   // Meets whoever runs already, and can be found from here on, in `folder`. Waits, `wait_ms` at the longest,
-  // until the other one has told what this one must know.
+  // until the other one has told what this one must know. Throws std::runtime_error where that one speaks a
+  // version that is more than a step away.
   void meet(const std::string& folder, const std::string& name, double wait_ms);
   // Leaves the others, and calls `shared` no more.
   void end();
@@ -41,6 +42,8 @@
   struct Peer {
     Socket socket;
     bool ready = false, told = false, over = false;
+    bool unlike = false;  // more than one version apart
+    int version = 1;
     std::string outbox;  // what is to be written next
     std::condition_variable wake;
     park::Thread reader, writer;  // last: they use all the others
@@ -52,6 +55,7 @@
   void read(Peer& peer);
   void write(Peer& peer);
   void take(Peer& peer, const std::string& line);
+  void meet_version(Peer& peer, const std::string& text);
   void put(Peer& peer, const core::Word& word);
   void reap();
   std::size_t processes();
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -84,11 +84,13 @@
 Node::Node(core::Config config, core::Clock& clock, const Adder& adder, park::Crew::Start start)
     : clock_(clock),
       longest_ms_(longest_deadline(config.settings)),
+      version_(core::version_line(config)),
       sockets_(config.sockets),
       memory_mb_(config.memory_mb),
       budget_(sockets_, memory_mb_),
       listener_(config.passed_socket >= 0 ? net::Socket::adopt_listener(config.passed_socket)
                                           : net::Socket::listen_at(net::Address(config.listen))),
+      passed_(config.tether.empty() ? net::Socket() : listener_.another()),
       management_listener_(config.management.empty()
                                ? net::Socket()
                                : net::Socket::listen_at(net::Address(config.management))),
@@ -123,9 +125,12 @@
   clients_.start();
   front_.ready = true;
   kin_.set_ready(true);
+  // Before it can be asked: who hears `ready` there may look for it here.
+  if (!config.tether.empty()) tether_.emplace(park_, config.tether, version_, std::move(passed_));
   if (management_listener_)
     management_.emplace(std::move(management_listener_), clock, park_, crew_,
                         [this](auto call, auto argument) { return answer_call(call, argument); });
+  core::log_line("start: version " + version_);
   core::log_line("start: " + config.name + " serves at " + config.listen + ", client links " +
                  std::to_string(budget_.client_links) + ", server links " +
                  std::to_string(budget_.server_links));
@@ -176,6 +181,8 @@
     const std::lock_guard lock(state_mutex_);
     return !ending_ && !evacuated_ ? "done ready\n" : "error not ready\n";
   }
+  if (call == "version") return "done " + version_ + "\n";
+  if (call == "figures") return ask_loop(core::OperatorCall::Kind::figures, {});
   if (call == "telemetry") return ask_loop(core::OperatorCall::Kind::telemetry, {});
   if (call == "evacuate") return set_evacuated(true);
   if (call == "activate") return set_evacuated(false);
@@ -219,6 +226,7 @@
     front_.ready = hands_over();
     kin_.set_ready(false);
   }
+  if (tether_) tether_->stop_passing();
   const auto pause_until = [this](double until, bool while_open) {
     const auto is_busy = [this] { return clients_.open() > 0 || (addition_ && addition_->busy() > 0); };
     while (clock_.now() < until && (!while_open || is_busy())) ::poll(nullptr, 0, 10);
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -16,6 +16,7 @@
 #include "net/management.hpp"
 #include "net/server_links.hpp"
 #include "net/succession.hpp"
+#include "net/tether.hpp"
 #include "park/park.hpp"
 
 namespace woadtide {
@@ -80,10 +81,12 @@
   void share_out(std::size_t processes);
 
   core::Clock& clock_;
-  const double longest_ms_;  // longest deadline of a class
+  const double longest_ms_;    // longest deadline of a class
+  const std::string version_;  // what it says of itself
   const std::size_t sockets_, memory_mb_;
   const Budget budget_;   // of a process that is alone
   net::Socket listener_;  // opened first: what goes wrong there goes wrong before any thread runs
+  net::Socket passed_;    // the same once more, for the tether; empty where there is none
   net::Socket management_listener_;
   const int port_, management_port_;
   net::BufferPool client_pool_, worker_pool_;  // before whatever may hold a buffer
@@ -118,6 +121,7 @@
     Node& node;
     ~Leaving();
   } leaving_;
+  std::optional<net::Tether> tether_;          // may be none
   std::optional<net::Management> management_;  // last: its threads use all the others
 };
 
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -104,6 +104,7 @@
 }
 
 std::vector<Order> Rollout::tick(double now) {
+  if (began_ == 0) began_ = now;
   std::vector<Order> orders;
   for (auto& [name, state] : members_) {
     if (!state.order || now < state.ordered_at + plan_.step_ms) continue;
@@ -142,7 +143,7 @@
       all = false;
       if (!state.order) give(now, name, Order::Kind::check, orders);
     }
-    if (!all) return orders;
+    if (!all || now < began_ + plan_.look_ms) return orders;
     phase_ = Phase::moving;
     since_ = now;
   }
@@ -266,6 +267,21 @@
   return next(now);
 }
 
+std::vector<Order> Rollout::fell_back(double now, const std::string& member, const std::string& why) {
+  const auto found = members_.find(member);
+  if (found == members_.end() || over() || phase_ == Phase::going_back || phase_ == Phase::checking)
+    return {};
+  if (!found->second.order) found->second.place = Place::on_old;
+  turn_back(member + " went back by itself: " + why);
+  return next(now);
+}
+
+std::optional<Order> Rollout::out(const std::string& member) const {
+  const State& state = members_.at(member);
+  if (!state.order || state.tries == 0) return std::nullopt;
+  return Order{*state.order, member, state.number};
+}
+
 // An operator's word -----------------------------------------------------------------------------------
 
 void Rollout::pause(const std::string& why) {
@@ -286,7 +302,7 @@
 std::vector<Order> Rollout::outstanding() const {
   std::vector<Order> orders;
   for (const auto& [name, state] : members_)
-    if (state.order && state.tries > 0) orders.push_back({*state.order, name, state.number});
+    if (const auto order = out(name)) orders.push_back(*order);
   return orders;
 }
 
@@ -304,6 +320,8 @@
                {"change", plan_.change},
                {"order", std::move(order)},
                {"stages", plan_.stages},
+               {"look_ms", plan_.look_ms},
+               {"began", began_},
                {"bake_ms", plan_.bake_ms},
                {"patience_ms", plan_.patience_ms},
                {"step_ms", plan_.step_ms},
@@ -334,6 +352,8 @@
     Plan& plan = read.plan_;
     plan.change = object.at("change");
     object.at("stages").get_to(plan.stages);
+    plan.look_ms = object.at("look_ms");
+    read.began_ = object.at("began");
     plan.bake_ms = object.at("bake_ms");
     plan.patience_ms = object.at("patience_ms");
     plan.step_ms = object.at("step_ms");
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -3,6 +3,7 @@
 // whole state goes into a text and comes back from it. Invariants are in README.md.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,6 +20,7 @@
   std::string change;  // its name, the same as long as it lives
   std::vector<Member> members;
   std::vector<int> stages;       // how many have the new version after each; the last one: all
+  double look_ms = 0;            // from its begin until the first is moved: how all do before is learnt in it
   double bake_ms = 60'000;       // how long a stage is looked at, at least
   double patience_ms = 600'000;  // and at most, before the change pauses with `cannot tell`
   double step_ms = 30'000;       // an order that has not been answered by then is given again
@@ -59,6 +61,11 @@
   std::vector<Order> found(double now, const std::string& member, bool alive, bool runs_new);
   std::vector<Order> judged(double now, Word word, const std::string& why);
   void pause(const std::string& why);
+  // A member has left the new version by itself: a word on the change as a verdict's is.
+  std::vector<Order> fell_back(double now, const std::string& member, const std::string& why);
+  // Orders have gone out up to this number, from a life of which nothing else is known.
+  void raise(std::uint64_t number) { numbers_ = std::max(numbers_, number); }
+  std::uint64_t newest() const { return numbers_; }
   std::vector<Order> resume(double now);
   std::vector<Order> abort(double now);
   // After a start from text(): all that was ordered and not answered. Orders may be carried out twice.
@@ -71,6 +78,9 @@
   // Why it goes back, or went.
   const std::string& reason() const { return reason_; }
   int stage() const { return stage_; }
+  const Plan& plan() const { return plan_; }
+  // The order that a member has out.
+  std::optional<Order> out(const std::string& member) const;
   Place place(const std::string& member) const { return members_.at(member).place; }
   // New or on the way to it, and how many may be by the stage.
   int on_new() const;
@@ -101,6 +111,7 @@
   Phase phase_ = Phase::checking;
   int stage_ = 0;
   std::uint64_t numbers_ = 0;
+  double began_ = 0;  // its first tick
   double since_ = 0;  // of the phase, in this stage
   std::string paused_, reason_;
 };
--- a/src/verdict/verdict.cpp
+++ b/src/verdict/verdict.cpp
@@ -13,8 +13,9 @@
 // of a false stop is shared out over so many, whatever number turns up.
 constexpr double kMeasures = 24;
 constexpr double kUnusual = 2, kFewEvents = 1, kUsualShare = 0.05;  // events of a slice that weigh in full
-constexpr int kFewest = 30;  // queries on each side that make a point of a difference
-constexpr double kMostBet = 0.5;
+constexpr int kFewest = 12;  // queries on each side that make a point of a difference
+constexpr double kMostBet = 0.75;
+constexpr double kBySurge = 1;  // standard deviations that a side with few queries may be over its usual
 // Differences are taken for this at most, either way: the bounds are as wide as what they must reckon with,
 // and what differs by more, for long, is called worse by the other test long before.
 constexpr double kRange = 0.25;
@@ -57,16 +58,16 @@
 }
 
 // Predictable plug-in empirical Bernstein (Waudby-Smith and Ramdas), on the difference laid out over [0, 1].
-void Verdict::Difference::add(double alpha, int fresh_of, int fresh, int old_of, int old) {
+void Verdict::Difference::add(double alpha, int fresh_of, double fresh, int old_of, double old) {
   fresh_asked += fresh_of;
   old_asked += old_of;
   fresh_events += fresh;
   old_events += old;
   if (fresh_asked < kFewest || old_asked < kFewest) return;
-  const double share =
-      static_cast<double>(fresh_events) / fresh_asked - static_cast<double>(old_events) / old_asked;
+  const double share = fresh_events / fresh_asked - old_events / old_asked;
   const double x = (std::clamp(share, -kRange, kRange) / kRange + 1) / 2;
-  fresh_asked = old_asked = fresh_events = old_events = 0;
+  fresh_asked = old_asked = 0;
+  fresh_events = old_events = 0;
   const double mean_before = (0.5 + sum) / (n + 1), variance = (0.25 + squares) / (n + 1);
   n += 1;
   const double bet =
@@ -85,12 +86,19 @@
 
 double Verdict::alpha() const { return limits_.false_stop / kMeasures; }
 
-void Verdict::note(const std::string& name, double part, int fresh_of, int fresh, int old_of, int old,
+// Where the past says how many events a side's queries would have drawn, that is its exposure: the most that
+// the changed side's may be against the least of the other one's, as a past is known from so many queries
+// only. With exposures that are never too small for the changed side the ratios stay under a mean of one.
+void Verdict::note(const std::string& name, double part, const Events& fresh, const Events& old,
                    bool shares) {
+  if (fresh.usual.mean > 0 && old.usual.mean > 0)
+    part = fresh.usual.most / (fresh.usual.most + old.usual.least);
   if (part <= 0 || part >= 1) return;  // one side was not there: nothing can be compared
   Measure& measure = measures_[name];
-  measure.excess.add(fresh, old, part);
-  if (shares) measure.difference.add(limits_.false_go, fresh_of, fresh, old_of, old);
+  measure.excess.add(fresh.events, old.events, part);
+  if (shares)
+    measure.difference.add(limits_.false_go, fresh.of, fresh.events - fresh.usual.mean, old.of,
+                           old.events - old.usual.mean);
   if (!reason_.empty() || measure.excess.log_evidence() < std::log(1 / alpha())) return;
   reason_ = name + ": " + std::to_string(static_cast<int>(measure.excess.fresh)) + " of " +
             std::to_string(static_cast<int>(measure.excess.all)) + " are the new cohort's, " +
@@ -100,7 +108,8 @@
 void Verdict::add(const Slice& slice) {
   for (const auto& [zone, pair] : slice) {
     const auto surges = [this](const Side& side) {
-      return side.usual_asked > 0 && asked_of(side) > limits_.surge * side.usual_asked;
+      const double by_chance = kBySurge * std::sqrt(side.usual_asked);
+      return side.usual_asked > 0 && asked_of(side) > limits_.surge * side.usual_asked + by_chance;
     };
     if (!surges(pair.fresh) && !surges(pair.old)) compare(pair);
   }
@@ -114,18 +123,20 @@
     if (found == old.classes.end() || a.asked == 0 || found->second.asked == 0) continue;
     const Counts& b = found->second;
     const double part = static_cast<double>(a.asked) / (a.asked + b.asked);
-    const auto one = [&](const char* what, int of_fresh, int of_old) {
-      note(std::string(what) + " of " + name, part, a.asked, of_fresh, b.asked, of_old, true);
+    const auto one = [&](const char* what, int of_fresh, const Counts::Usual& usual_fresh, int of_old,
+                         const Counts::Usual& usual_old) {
+      note(std::string(what) + " of " + name, part, {a.asked, of_fresh, usual_fresh},
+           {b.asked, of_old, usual_old}, true);
     };
-    one("failed", a.failed, b.failed);
-    one("refused", a.refused, b.refused);
-    one("late", a.late, b.late);
-    one("slower than p95", a.slow[0], b.slow[0]);
-    one("slower than p99", a.slow[1], b.slow[1]);
+    one("failed", a.failed, a.usual_failed, b.failed, b.usual_failed);
+    one("refused", a.refused, a.usual_refused, b.refused, b.usual_refused);
+    one("late", a.late, a.usual_late, b.late, b.usual_late);
+    one("slower than p95", a.slow[0], a.usual_slow[0], b.slow[0], b.usual_slow[0]);
+    one("slower than p99", a.slow[1], a.usual_slow[1], b.slow[1], b.usual_slow[1]);
   }
   if (fresh.dispatchers > 0 && old.dispatchers > 0) {
     const double part = static_cast<double>(fresh.dispatchers) / (fresh.dispatchers + old.dispatchers);
-    note("restarts", part, 0, fresh.restarts, 0, old.restarts, false);
+    note("restarts", part, {0, fresh.restarts}, {0, old.restarts}, false);
   }
 }
 
@@ -149,7 +160,8 @@
   const double fresh_mb = fresh.memory_mb / fresh.dispatchers, old_mb = old.memory_mb / old.dispatchers;
   const bool told = fresh.asked >= kFewest && old.asked >= kFewest && old.cpu_ms > 0;
   const double more = told ? fresh.cpu_ms / fresh.asked / (old.cpu_ms / old.asked) : 0;
-  heavy_ = old_mb > 0 && fresh_mb > limits_.memory_ratio * old_mb ? heavy_ + 1 : 0;
+  const bool heavy = fresh_mb > std::max(limits_.memory_ratio * old_mb, old_mb + limits_.memory_slack_mb);
+  heavy_ = old_mb > 0 && heavy ? heavy_ + 1 : 0;
   if (told) costly_ = more > limits_.cpu_ratio ? costly_ + 1 : 0;
   if (!reason_.empty()) return;
   if (heavy_ >= limits_.spell)
@@ -159,16 +171,18 @@
     reason_ = "CPU a query: " + std::to_string(std::lround(100 * more)) + "% of the old cohort's";
 }
 
-double Verdict::widest() const {
-  double most = -1;
-  for (const auto& [name, measure] : measures_)
-    if (name != "restarts") most = std::max(most, measure.difference.upper(limits_.false_go));
-  return measures_.empty() ? 1 : most;
+std::pair<std::string, double> Verdict::widest() const {
+  std::pair<std::string, double> most{"", measures_.empty() ? 1 : -1};
+  for (const auto& [name, measure] : measures_) {
+    const double upper = measure.difference.upper(limits_.false_go);
+    if (name != "restarts" && upper > most.second) most = {name, upper};
+  }
+  return most;
 }
 
 Outcome Verdict::outcome() const {
   if (!reason_.empty()) return Outcome::worse;
-  return widest() < limits_.margin ? Outcome::not_worse : Outcome::cannot_tell;
+  return widest().second < limits_.margin ? Outcome::not_worse : Outcome::cannot_tell;
 }
 
 }  // namespace woadtide::verdict
--- a/src/verdict/verdict.hpp
+++ b/src/verdict/verdict.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace woadtide::verdict {
@@ -14,7 +15,15 @@
 struct Counts {
   int asked = 0, refused = 0, failed = 0;
   int late = 0;                  // served, but behind the class's wanted time
-  std::array<int, 2> slow = {};  // over the baseline's p95 and p99 of this class, see Baseline
+  std::array<int, 2> slow = {};  // over the p95 and p99 that were usual in this class before the change
+  // How many of each those queries would have drawn by their dispatchers' own past, and between which bounds
+  // that is known: one that always refuses more is not made worse by its version. 0: all dispatchers count
+  // alike.
+  struct Usual {
+    double least = 0, mean = 0, most = 0;
+  };
+  Usual usual_refused = {}, usual_failed = {}, usual_late = {};
+  std::array<Usual, 2> usual_slow = {};
 };
 
 struct Side {
@@ -35,10 +44,11 @@
 struct Limits {
   double false_stop =
       0.01;  // chance that equal cohorts are ever called worse, however long and often one looks
-  double false_go = 0.05;     // chance that one worse by more than `margin` is ever called not worse
-  double margin = 0.02;       // in shares of queries: failed, refused, late or slow
-  double memory_ratio = 1.3;  // over the old cohort's, in `spell` slices in a row
-  double cpu_ratio = 1.5;     // a query, the same
+  double false_go = 0.05;      // chance that one worse by more than `margin` is ever called not worse
+  double margin = 0.02;        // in shares of queries: failed, refused, late or slow
+  double memory_ratio = 1.3;   // over the old cohort's, in `spell` slices in a row
+  double memory_slack_mb = 4;  // and by more than this
+  double cpu_ratio = 1.5;      // a query, the same
   // A side that is asked so many times what it usually is says nothing of the change in that slice.
   double surge = 1.5;
   int spell = 5;
@@ -55,8 +65,8 @@
   Outcome outcome() const;
   // What was found worse, in words: measure, class, shares on both sides. Empty before.
   const std::string& reason() const { return reason_; }
-  // Of all measures, how far the upper bound of the difference is still from the margin; for status.
-  double widest() const;
+  // The measure of which least is known, and by how much the new cohort may be worse in it; for status.
+  std::pair<std::string, double> widest() const;
 
  private:
   // Whether events fall on the fresh side more often than its part of the exposure says: a mixture of
@@ -71,8 +81,9 @@
   // A confidence sequence for the mean difference of shares, by empirical Bernstein bounds.
   struct Difference {
     double n = 0, sum = 0, squares = 0, weights = 0, weighted = 0, spread = 0;
-    int fresh_asked = 0, old_asked = 0, fresh_events = 0, old_events = 0;  // gathered for the next point
-    void add(double alpha, int fresh_of, int fresh, int old_of, int old);
+    int fresh_asked = 0, old_asked = 0;  // gathered for the next point
+    double fresh_events = 0, old_events = 0;
+    void add(double alpha, int fresh_of, double fresh, int old_of, double old);
     double upper(double alpha) const;
   };
   struct Measure {
@@ -80,7 +91,11 @@
     Difference difference;
   };
 
-  void note(const std::string& name, double part, int fresh_of, int fresh, int old_of, int old, bool shares);
+  struct Events {
+    int of = 0, events = 0;
+    Counts::Usual usual = {};
+  };
+  void note(const std::string& name, double part, const Events& fresh, const Events& old, bool shares);
   void compare(const Pair& pair);
   void look_at_costs(const Slice& slice);
   double alpha() const;
