--- a/src/control/cohorts.cpp
+++ b/src/control/cohorts.cpp
@@ -134,7 +134,7 @@
   const double middle = (share + z * z / (2 * asked)) / (1 + z * z / asked);
   const double spread =
       z / (1 + z * z / asked) * std::sqrt(share * (1 - share) / asked + z * z / (4 * asked * asked));
-  return {of * std::max(middle - spread, common / 4), of * share, of * (middle + spread)};
+  return {of * std::max(middle - spread, 0.5 / (asked + 1)), of * share, of * (middle + spread)};
 }
 
 void Cohorts::add(verdict::Side& side, const std::string& member, const Done& done) const {
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -170,11 +170,18 @@
   feed(woadtide::ProbeResult{message.worker, message.status, load});
 }
 
-void DecisionLoop::take(ListTold& message) { feed(message.update); }
+// What this process is told counts as told to the dispatcher: the other process may not have heard yet.
+void DecisionLoop::take(ListTold& message) {
+  const woadtide::ListKind kind = message.update.kind;
+  if ((kind == woadtide::ListKind::full || kind == woadtide::ListKind::changes) && !kin_.alone())
+    kin_.tell({Word::Kind::list, hosts_.list()});
+  feed(message.update);
+}
 
 // A ban holds across an upgrade, and an id in work at one process, or known from before, must not run at the
 // other.
 void DecisionLoop::take(KinJoined&) {
+  kin_.tell({Word::Kind::list, hosts_.list()});
   for (const std::string& worker : excluded_) kin_.tell({Word::Kind::exclude, worker});
   for (const auto& [id, open] : queries_) kin_.tell({Word::Kind::query, id});
   for (const std::string& id : spent_.all()) kin_.tell({Word::Kind::query, id});
@@ -184,6 +191,7 @@
 void DecisionLoop::take(KinSaid& message) {
   const Word& word = message.word;
   if (word.kind == Word::Kind::query) return spent_.add(word.id);
+  if (word.kind == Word::Kind::list) return hosts_.hear_list(word.id);
   exclude(word.id, word.kind == Word::Kind::exclude);
 }
 
--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -34,6 +34,26 @@
 
 }  // namespace
 
+std::string text_of(const HostList& list) {
+  nlohmann::json hosts = nlohmann::json::array();
+  for (const Host& host : list.hosts) {
+    const woadtide::ListEntry& entry = host.entry;
+    const char* health = entry.state == WorkerState::ready      ? "Ready"
+                         : entry.state == WorkerState::draining ? "Terminating"
+                                                                : "Gone";
+    hosts.push_back({{"host", entry.worker},
+                     {"site", entry.zone},
+                     {"class", entry.kind},
+                     {"block", entry.cell},
+                     {"share", entry.weight},
+                     {"health", health},
+                     {"born_ms", entry.started ? to_ms(*entry.started) : 0.0},
+                     {"dial", host.dial}});
+  }
+  return nlohmann::json({{"seq", list.seq}, {"whole", list.whole}, {"hosts", std::move(hosts)}})
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 HostList read_host_list(const nlohmann::json& object) {
   try {
     HostList list;
--- a/src/core/host_list.hpp
+++ b/src/core/host_list.hpp
@@ -23,5 +23,7 @@
 
 // Throws std::runtime_error, naming the field, where the list is not what discovery may write.
 HostList read_host_list(const nlohmann::json& object);
+// In the same form, on one line.
+std::string text_of(const HostList& list);
 
 }  // namespace woadtide::core
--- a/src/core/kin.hpp
+++ b/src/core/kin.hpp
@@ -17,6 +17,7 @@
     told,     // all that was to tell at the start has been told
     ready,    // takes clients
     unready,  // takes none
+    list,     // the workers as this process has them, discovery's form: a drain that it was told holds at both
   };
   Kind kind = Kind::told;
   std::string id = {};
@@ -27,6 +28,8 @@
   virtual ~Kin() = default;
   // To all processes that there are besides this one. Must not block.
   virtual void tell(const Word& word) = 0;
+  // Nobody would hear it.
+  virtual bool alone() const = 0;
 };
 
 }  // namespace woadtide::core
--- a/src/jobs/installation.cpp
+++ b/src/jobs/installation.cpp
@@ -106,7 +106,7 @@
 
 std::string Installation::kind_of(const std::string& worker) const {
   const auto host = hosts_.find(worker);
-  return host ? host->kind : std::string();
+  return host ? host->entry.kind : std::string();
 }
 
 // What cannot be read is no answer: the worker will be asked again.
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -194,12 +194,31 @@
   for (const core::Host& host : list.hosts) {
     const auto known = hosts_.find(host.entry.worker);
     if (known != hosts_.end() && host.entry.state != WorkerState::ready &&
-        known->second.state == WorkerState::ready && host.entry.started == known->second.started)
+        known->second.entry.state == WorkerState::ready && host.entry.started == known->second.entry.started)
       drains.hosts.push_back(host);
   }
   if (!drains.hosts.empty()) apply(drains, ListKind::changes);
 }
 
+std::string HostGroup::list() const {
+  const std::lock_guard lock(mutex_);
+  core::HostList list{seq_, true, {}};
+  for (const auto& [worker, known] : hosts_) list.hosts.push_back({known.entry, known.dial});
+  return core::text_of(list);
+}
+
+// The module takes it as a list that is remembered: no watch of this process has told it, and one has to be opened.
+void HostGroup::hear_list(const std::string& text) {
+  const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
+  if (object.is_discarded()) return;
+  const core::HostList list = core::read_host_list(object);
+  const std::lock_guard lock(mutex_);
+  if (stopping_ || list.seq <= seq_) return;
+  core::log_line("host group: the other process has seq " + std::to_string(list.seq) + ", this one had " +
+                 std::to_string(seq_));
+  apply(list, ListKind::remembered);
+}
+
 // Under the mutex. Closed before the module hears of the failure, so that it can ask again.
 void HostGroup::end(const std::string& why) {
   park_.leave(std::exchange(watch_, park::Park::kNone));
@@ -223,8 +242,7 @@
   std::map<std::string, Known> told;
   core::ListTold message{{kind, {}}};
   for (const core::Host& host : list.hosts) {
-    told.insert_or_assign(host.entry.worker, Known{Address(host.dial), host.dial, host.entry.state,
-                                                   host.entry.kind, host.entry.started});
+    told.insert_or_assign(host.entry.worker, Known{Address(host.dial), host.dial, host.entry});
     message.update.entries.push_back(host.entry);
   }
   seq_ = list.seq;
@@ -232,14 +250,14 @@
   if (kind != ListKind::changes) hosts_.clear();
   for (auto& [worker, known] : told) {
     const auto was = before.find(worker);
-    const bool news = was == before.end() || was->second.state != known.state;
+    const bool news = was == before.end() || was->second.entry.state != known.entry.state;
     if (news && kind != ListKind::remembered) {
-      const char* word = known.state == WorkerState::ready      ? " is ready at "
-                         : known.state == WorkerState::draining ? " drains at "
+      const char* word = known.entry.state == WorkerState::ready      ? " is ready at "
+                         : known.entry.state == WorkerState::draining ? " drains at "
                                                                 : " is gone from ";
       core::log_line("host group: " + worker + word + known.dial);
     }
-    if (known.state == WorkerState::gone)
+    if (known.entry.state == WorkerState::gone)
       hosts_.erase(worker);
     else
       hosts_.insert_or_assign(worker, std::move(known));
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -34,9 +34,7 @@
   struct Known {
     Address address;
     std::string dial;
-    woadtide::WorkerState state = woadtide::WorkerState::gone;
-    std::string kind = {};
-    std::optional<woadtide::Micros> started = {};
+    woadtide::ListEntry entry;
   };
 
   // The remembered list goes to the Inbox at once.
@@ -52,6 +50,9 @@
   // Discovery has another address from here on. The watch goes there at once, and no failure is told: the
   // module's retry backoff is for what is down, and drains would go unheard meanwhile.
   void move(const std::string& discovery);
+  std::string list() const override;
+  // Of an older or the same sequence it is nothing new; what cannot be read is passed over.
+  void hear_list(const std::string& text) override;
   // As the newest list has it; nullopt where it names no such worker.
   std::optional<Known> find(const std::string& worker) const;
 
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -316,7 +316,7 @@
   const core::Execution& execution = task.execution;
   // The connect may have outlived a drain notice, and nothing new may go to a worker that drains.
   const auto host = hosts_.find(execution.worker);
-  if (!host || host->state != woadtide::WorkerState::ready) return broken(link, Status::connect_failed);
+  if (!host || host->entry.state != woadtide::WorkerState::ready) return broken(link, Status::connect_failed);
   // Nor to one that an operator has taken out meanwhile. It says nothing of the worker.
   if (is_excluded(execution.worker)) return Ending{Status::moot};
   // Nor a repeat that its worker would not know for one any more: the connect, or a queue, took its time.
--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -22,8 +22,8 @@
 
 constexpr std::size_t kMostOutbox = 2'000'000;  // more than all ids that a process remembers
 constexpr std::size_t kMostPeers = 3;
-constexpr std::array<std::string_view, 6> kNames = {"exclude", "include", "query",
-                                                    "told",    "ready",   "unready"};
+constexpr std::array<std::string_view, 7> kNames = {"exclude", "include", "query",
+                                                    "told",    "ready",   "unready", "list"};
 constexpr std::string_view kVersion = "version";
 
 }  // namespace
@@ -179,6 +179,7 @@
     case Word::Kind::exclude:
     case Word::Kind::include:
     case Word::Kind::query:
+    case Word::Kind::list:
       break;
   }
   for (Peer& other : peers_)
--- a/src/net/succession.hpp
+++ b/src/net/succession.hpp
@@ -33,6 +33,7 @@
   // Leaves the others, and calls `shared` no more.
   void end();
   void tell(const core::Word& word) override;
+  bool alone() const override { return alone_; }
   // Whether this process takes clients; also told to processes that come later.
   void set_ready(bool ready);
   // Another one does.
--- a/src/verdict/verdict.cpp
+++ b/src/verdict/verdict.cpp
@@ -92,7 +92,7 @@
 // never too small for the changed side keep the ratios under a mean of one.
 void Verdict::note(const std::string& name, double part, const Events& fresh, const Events& old,
                    bool shares) {
-  if (fresh.usual.mean > 0 && old.usual.mean > 0)
+  if (fresh.usual.most > 0 && old.usual.least > 0)
     part = std::max(part, fresh.usual.most / (fresh.usual.most + old.usual.least));
   if (part <= 0 || part >= 1) return;  // one side was not there: nothing can be compared
   Measure& measure = measures_[name];
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -10,6 +10,11 @@
   void cancel(const ExecutionKey& key) override { cancelled.push_back(key); }
   void probe(const std::string&) override {}
   void exclude(const std::string& worker, bool out) override { excluded[worker] = out; }
+  std::string list() const override { return "{}"; }
+  void hear_list(const std::string& text) override { heard_lists.push_back(text); }
+  bool alone() const override { return is_alone; }
+  std::vector<std::string> heard_lists;
+  bool is_alone = true;
   void watch() override { watches += 1; }
   void tell(const Word& word) override { told.push_back(word); }
   std::vector<Execution> started;
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -1,5 +1,7 @@
 // One text on the disk: through failed, torn and unsynced writes, damage, and files of a newer program.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "state/state.hpp"
+
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <stdlib.h>
@@ -13,8 +15,6 @@
 #include <system_error>
 #include <vector>
 
-#include "state/state.hpp"
-
 namespace woadtide::state {
 namespace {
 
@@ -112,8 +112,8 @@
   }
 }
 
-// Guards that a promise is on the disk before it is given: for each operation in turn, failed alone or with the
-// power gone there, the text before or the new one is read, and the new one wherever write() returned.
+// Guards that a promise is on the disk before it is given: for each operation in turn, failed alone or with
+// the power gone there, the text before or the new one is read, and the new one wherever write() returned.
 TEST_CASE("every operation failed in turn, and the power lost there") {
   for (const bool cut : {false, true})
     for (int at = 1; at < 100; ++at) {
--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -3,7 +3,10 @@
 #include <filesystem>
 #include <thread>
 
+#include "net/tether.hpp"
+#include "net/unix_socket.hpp"
 #include "node_harness.hpp"
+#include "numbers.hpp"
 
 namespace woadtide {
 namespace {
@@ -160,5 +163,116 @@
     }
 }
 
+// Guards the drain rule across an upgrade: what the old process was told counts as told to both, and the new
+// one may have no watch yet, or none of it may work.
+TEST_CASE(
+    "a drain and a worker's end that the old process was told hold at the new one, whatever its config "
+    "remembers") {
+  Platform platform;
+  Port other;
+  const Hosts hosts{host_json("w", platform.worker.dial()), host_json("gone", other.dial())};
+  auto old = platform.start(hosts);
+  Peer watch = platform.discovery.accept();
+  watch.message();
+  watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string line =
+      nlohmann::json{
+          {"seq", 50}, {"whole", true}, {"hosts", {host_json("w", platform.worker.dial(), "Terminating")}}}
+          .dump() +
+      "\n";
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+  watch.write(size + line + "\r\n");
+  while (!has(Platform::call(*old, "telemetry\n"), "app.discovered:1|g")) std::this_thread::yield();
+  auto next = platform.start(hosts);  // nobody answers its watch
+  while (!has(Platform::call(*next, "telemetry\n"), "app.discovered:1|g")) std::this_thread::yield();
+  old.reset();
+  Peer client = platform.client();
+  client.write(query_text("a1", "receipt-check"));
+  CHECK(starts(client.message(), "HTTP/1.1 503 "));
+  CHECK(has(Platform::call(*next, "telemetry\n"), "app.forwards.receipt-check:0|c"));
+}
+
+// Guards what is told while both live: the new one's own watch may be slower.
+TEST_CASE("a drain that comes to one process while both live is told to the other") {
+  Platform platform;
+  const Hosts hosts{host_json("w", platform.worker.dial())};
+  auto old = platform.start(hosts);
+  Peer watch = platform.discovery.accept();
+  watch.message();
+  watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  auto next = platform.start(hosts);
+  const std::string line = "{\"seq\":50,\"whole\":true,\"hosts\":[]}\n";
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+  watch.write(size + line + "\r\n");
+  while (!has(Platform::call(*next, "telemetry\n"), "app.discovered:0|g")) std::this_thread::yield();
+  CHECK(has(Platform::call(*old, "telemetry\n"), "app.discovered:0|g"));
+}
+
+// Guards that one step of skew works, and more is refused in words.
+TEST_CASE("a process that says no version goes together with this one; one two steps away does not") {
+  for (const auto& [said, version] :
+       {std::pair{"told\n", 0}, {"version 3\ntold\nlater-word x\n", 0}, {"version 4\ntold\n", 4}}) {
+    CAPTURE(said);
+    Platform platform;
+    const Hosts hosts{host_json("w", platform.worker.dial())};
+    const core::Config config = core::read_config(config_json(hosts, platform.discovery.dial()));
+    char name[40];
+    std::snprintf(name, sizeof name, "woadtide-%016llx",
+                  static_cast<unsigned long long>(hash_of(config.name + ' ' + config.listen)));
+    const net::UnixPlace place(platform.folder, name), fresh(platform.folder, "fresh");
+    const net::Socket listener = net::listen_over(place, fresh);
+    REQUIRE(listener);
+    net::Socket link;
+    std::atomic<bool> over{false};
+    std::thread other([&] {
+      while (!link && !over) {
+        link = net::Socket{net::Fd(::accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC))};
+        std::this_thread::yield();
+      }
+      if (link) link.send_some({said});
+    });
+    if (version == 0) {
+      CHECK_NOTHROW(platform.start(hosts));
+    } else {
+      CHECK_THROWS_WITH_AS(
+          platform.start(hosts),
+          "the process that runs speaks version 4 between processes, this one 2: they may be one step apart",
+          std::runtime_error);
+    }
+    over = true;
+    other.join();
+  }
+}
+
+// Guards that a supervisor that was started again gets the socket back, and learns of the end.
+TEST_CASE("a tether passes the listening socket, says what runs, and ends with the process") {
+  Platform platform;
+  core::Config config = core::read_config(config_json(Hosts{}, platform.discovery.dial()));
+  config.passed_socket = ::dup(platform.listener.socket.fd());
+  config.tether = platform.folder + "/tether";
+  config.version = "9.9";
+  auto node = std::make_unique<Node>(config, platform.clock);
+  net::Tethered found = net::reach(config.tether, 2'000);
+  REQUIRE(found.link);
+  CHECK(found.pid == ::getpid());
+  CHECK(found.line == "9.9 kin 2 settings none");
+  CHECK(found.listener.port() == platform.listener.socket.port());
+  CHECK(Platform::call(*node, "version\n") == "done 9.9 kin 2 settings none\n");
+  // More callers than places: the oldest link ends, the newest stands.
+  std::vector<net::Tethered> more;
+  for (std::size_t i = 0; i < net::Tether::kMostCallers; ++i)
+    more.push_back(net::reach(config.tether, 2'000));
+  char byte = 0;
+  std::size_t got = 0;
+  core::Clock real;
+  CHECK(found.link.receive(&byte, 1, got, real.now() + 2'000, real) == net::Io::ended);
+  CHECK(more.back().link.receive(&byte, 1, got) == net::Io::late);
+  node.reset();
+  CHECK(more.back().link.receive(&byte, 1, got, real.now() + 2'000, real) == net::Io::ended);
+  CHECK_FALSE(net::reach(config.tether, 100).link);
+}
+
 }  // namespace
 }  // namespace woadtide
