--- a/src/control/cohorts.cpp
+++ b/src/control/cohorts.cpp
@@ -196,20 +196,39 @@
   }
 }
 
+bool Cohorts::tells_times(const Done& done) {
+  return std::none_of(done.classes.begin(), done.classes.end(), [](const auto& item) {
+    return item.second.served > 0 && sum_of(item.second.bins) == 0;
+  });
+}
+
+void Cohorts::leave_out_times(verdict::Slice& slice) {
+  for (auto& [zone, pair] : slice)
+    for (verdict::Side* side : {&pair.fresh, &pair.old})
+      for (auto& [name, counts] : side->classes) {
+        counts.late = 0;
+        counts.slow = {};
+      }
+}
+
 verdict::Slice Cohorts::slice(const Sides& sides) const {
   verdict::Slice slice;
+  bool times = true;
   for (const auto& [member, done] : done_) {
     const auto found = sides.find(member);
     const Cohort cohort = found == sides.end() ? Cohort::none : found->second;
     if (cohort == Cohort::none) continue;
     verdict::Pair& pair = slice[zones_.at(member)];
     add(cohort == Cohort::fresh ? pair.fresh : pair.old, member, done);
+    times = times && tells_times(done);
   }
+  if (!times) leave_out_times(slice);
   return slice;
 }
 
 verdict::Slice Cohorts::against_past(const Sides& sides) {
   verdict::Slice slice;
+  bool times = true;
   turn_ += 1;
   for (const auto& [member, done] : done_) {
     const auto found = sides.find(member);
@@ -219,7 +238,9 @@
     verdict::Pair& pair = slice[zones_.at(member)];
     add(pair.fresh, member, done);
     add(pair.old, member, past->second.each[turn_ % past->second.each.size()]);
+    times = times && tells_times(done) && tells_times(past->second.each[turn_ % past->second.each.size()]);
   }
+  if (!times) leave_out_times(slice);
   return slice;
 }
 
--- a/src/control/cohorts.hpp
+++ b/src/control/cohorts.hpp
@@ -59,6 +59,9 @@
   // `all_asked` at all dispatchers.
   static verdict::Counts::Usual usual(double of, double events, double asked, double all_events,
                                       double all_asked);
+  // Where one tells no times, as an older program, nobody is compared by them.
+  static void leave_out_times(verdict::Slice& slice);
+  static bool tells_times(const Done& done);
   static std::optional<Done> between(const Sample& before, const Sample& now);
 
   const std::map<std::string, std::string> zones_;
--- a/src/core/figures.cpp
+++ b/src/core/figures.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
+#include <cstring>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <stdexcept>
+#include <utility>
 
 namespace woadtide::core {
 
@@ -38,6 +42,25 @@
   return classes.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+Figures read_telemetry(const std::string& text) {
+  Figures read;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    const std::size_t colon = line.rfind(':');
+    if (colon == std::string::npos) continue;
+    const std::uint64_t value = std::strtoull(line.c_str() + colon + 1, nullptr, 10);
+    for (const auto& [word, what] : {std::pair{"app.succeeded.", &ClassFigures::served},
+                                     {"app.declined.", &ClassFigures::refused},
+                                     {"app.aborted.", &ClassFigures::failed}}) {
+      if (!line.starts_with(word)) continue;
+      ClassFigures& one = read[line.substr(std::strlen(word), colon - std::strlen(word))];
+      one.*what = value;
+      one.asked += value;  // what is still open counts once it is over
+    }
+  }
+  return read;
+}
+
 Figures read_figures(const std::string& text) {
   try {
     Figures read;
--- a/src/core/figures.hpp
+++ b/src/core/figures.hpp
@@ -28,5 +28,7 @@
 std::string text_of(const Figures& figures);
 // Throws std::runtime_error, with one line.
 Figures read_figures(const std::string& text);
+// From the lines of `telemetry`, which a program of before these figures has: no times, and nothing is late.
+Figures read_telemetry(const std::string& text);
 
 }  // namespace woadtide::core
--- a/src/lab/cluster/arena.cpp
+++ b/src/lab/cluster/arena.cpp
@@ -49,7 +49,8 @@
     for (std::size_t i = 0; i < workers; ++i) boxes_["w" + std::to_string(i)].port = ports_[nodes + i];
     if (scenario.change.on)
       fleet_.emplace(
-          plan_, fs::absolute(settings.folder).string(), fs::absolute(settings.dispatcher).string(), relays_,
+          plan_, fs::absolute(settings.folder).string(),
+          Programs{fs::absolute(settings.dispatcher).string(), settings.first, settings.next}, relays_,
           std::vector<int>(ports_.begin() + static_cast<std::ptrdiff_t>(nodes + workers + 1), ports_.end()));
   }
 
--- a/src/lab/cluster/arena.hpp
+++ b/src/lab/cluster/arena.hpp
@@ -12,9 +12,10 @@
 namespace woadtide::lab::cluster {
 
 struct RunSettings {
-  std::string dispatcher;  // the program under test
-  std::string self;        // the laboratory, for the other processes
-  std::string folder;      // for all files; kept
+  std::string dispatcher;   // the program under test
+  std::string self;         // the laboratory, for the other processes
+  std::string folder;       // for all files; kept
+  std::string first, next;  // of a change: other programs to begin with, and to change to; empty: the same
   std::uint64_t seed = 1;
   bool progress = false;  // a line every few seconds, on standard error
 };
--- a/src/lab/cluster/fleet.hpp
+++ b/src/lab/cluster/fleet.hpp
@@ -15,10 +15,15 @@
 
 namespace woadtide::lab::cluster {
 
+struct Programs {
+  std::string supervisor;   // and the controller's, and all that is not named
+  std::string first, next;  // of the dispatchers; next: a copy of the supervisor's with the scenario's flaw
+};
+
 class Fleet {
  public:
   // `ports`: three for each dispatcher, for its supervisor and its two processes.
-  Fleet(const Plan& plan, std::string folder, std::string program, Relays& relays,
+  Fleet(const Plan& plan, std::string folder, const Programs& programs, Relays& relays,
         const std::vector<int>& ports);
 
   Process supervisor(const std::string& node) const;
--- a/src/supervise/supervisor.cpp
+++ b/src/supervise/supervisor.cpp
@@ -26,6 +26,7 @@
 
 #include "core/clock.hpp"
 #include "core/config.hpp"
+#include "core/figures.hpp"
 #include "core/kin.hpp"
 #include "core/log.hpp"
 #include "net/line_call.hpp"
@@ -584,15 +585,23 @@
   std::string figures() {
     const int lead = core_.lead();
     if (lead < 0) return "error nobody serves";
-    const auto said = net::call(setup_.management.at(static_cast<std::size_t>(lead)), "figures", kAnswerMs);
-    if (!said || !said->starts_with("done ")) return "error no figures";
+    const std::string& at = setup_.management.at(static_cast<std::size_t>(lead));
+    auto said = net::call(at, "figures", kAnswerMs);
+    json classes;
+    if (said && said->starts_with("done ")) {
+      classes = json::parse(said->substr(5));
+    } else {  // a program of before there were any
+      said = net::call(at, "telemetry", kAnswerMs);
+      if (!said || !said->ends_with("\nend")) return "error no figures";
+      classes = json::parse(core::text_of(core::read_telemetry(*said)));
+    }
     const pid_t pid = held(lead).process.pid;
     return "done " + json({{"pid", pid},
                            {"version", core_.child(lead).version.id},
                            {"crashes", core_.crashes()},
                            {"memory_mb", memory_mb_of(pid)},
                            {"cpu_ms", cpu_ms_of(pid)},
-                           {"classes", json::parse(said->substr(5))}})
+                           {"classes", std::move(classes)}})
                          .dump();
   }
 
--- /dev/null
+++ b/tests/settings.sh
@@ -0,0 +1,11 @@
+# The operator's file under deploy/ names every default as it is: against an empty one nothing differs.
+set -eu
+woadtide=$1 file=$2
+empty=$(mktemp)
+trap 'rm -f "$empty"' EXIT
+"$woadtide" settings check --operator "$file"
+said=$("$woadtide" settings diff --operator "$file" --against "$empty")
+test -z "$said" || { echo "differs from the defaults: $said"; exit 1; }
+echo '[log]
+format = "json"' > "$empty"
+"$woadtide" settings diff --operator "$file" --against "$empty" | grep -q 'log.format: "text" -> "json" (on SIGHUP)'
