--- a/src/core/kin.hpp
+++ b/src/core/kin.hpp
@@ -17,7 +17,7 @@
     told,     // all that was to tell at the start has been told
     ready,    // takes clients
     unready,  // takes none
-    list,     // the workers as this process has them, discovery's form: a drain that it was told holds at both
+    list,  // the workers as this process has them, discovery's form: a drain that it was told holds at both
   };
   Kind kind = Kind::told;
   std::string id = {};
--- a/src/core/query.hpp
+++ b/src/core/query.hpp
@@ -88,8 +88,8 @@
   virtual ~HostSource() = default;
   // Opens a watch on the list; what it tells, a failure included, comes to the Inbox. Must not block.
   virtual void watch() = 0;
-  // The list as it stands, for another process of this dispatcher, and what that one has: taken where it is newer
-  // than all that came here. Neither may block.
+  // The list as it stands, for another process of this dispatcher, and what that one has: taken where it is
+  // newer than all that came here. Neither may block.
   virtual std::string list() const = 0;
   virtual void hear_list(const std::string& text) = 0;
 };
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -207,7 +207,8 @@
   return core::text_of(list);
 }
 
-// The module takes it as a list that is remembered: no watch of this process has told it, and one has to be opened.
+// The module takes it as a list that is remembered: no watch of this process has told it, and one has to be
+// opened.
 void HostGroup::hear_list(const std::string& text) {
   const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
   if (object.is_discarded()) return;
@@ -254,7 +255,7 @@
     if (news && kind != ListKind::remembered) {
       const char* word = known.entry.state == WorkerState::ready      ? " is ready at "
                          : known.entry.state == WorkerState::draining ? " drains at "
-                                                                : " is gone from ";
+                                                                      : " is gone from ";
       core::log_line("host group: " + worker + word + known.dial);
     }
     if (known.entry.state == WorkerState::gone)
--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -22,8 +22,8 @@
 
 constexpr std::size_t kMostOutbox = 2'000'000;  // more than all ids that a process remembers
 constexpr std::size_t kMostPeers = 3;
-constexpr std::array<std::string_view, 7> kNames = {"exclude", "include", "query",
-                                                    "told",    "ready",   "unready", "list"};
+constexpr std::array<std::string_view, 7> kNames = {"exclude", "include", "query", "told",
+                                                    "ready",   "unready", "list"};
 constexpr std::string_view kVersion = "version";
 
 }  // namespace
