--- a/tests/lists_test.cpp
+++ b/tests/lists_test.cpp
@@ -135,5 +135,28 @@
   CHECK(group.state("v") == WorkerState::gone);
 }
 
+// Guards the drain rule on a watch that falls silent: what it misses counts as told 6 s after it fell silent,
+// and the module's gap between two calls could be longer than what is left of that.
+TEST_CASE(
+    "a watch that was open and falls silent is opened anew at once; one that never spoke is told to the "
+    "module") {
+  Group group(HostGroup::Way::asked);
+  group.hosts.watch();
+  Peer first = group.watch("41");
+  Group::say(first, line_of(42, true, {host_json("w", "127.0.0.1:1", "Ready")}));
+  CHECK(group.next().kind == ListKind::full);
+  Peer second = group.watch("42");  // it came before the module heard of any failure
+  CHECK(group.come.empty());
+  Group::say(second, line_of(43, true, {host_json("w", "127.0.0.1:1", "Terminating")}));
+  CHECK(group.next().kind == ListKind::full);
+  CHECK(group.state("w") == WorkerState::draining);
+  Peer third = group.watch("43");
+  for (int i = 0; i < 150; ++i) {
+    group.clock.set(group.clock.now() + 100);
+    ::poll(nullptr, 0, 10);
+  }
+  CHECK(group.next().kind == ListKind::failed);  // nothing came on this one
+}
+
 }  // namespace
 }  // namespace woadtide::net
