--- a/src/net/tether.cpp
+++ b/src/net/tether.cpp
@@ -22,16 +22,26 @@
   return {path.substr(0, slash), path.substr(slash + 1)};
 }
 
+// A message with room for one descriptor beside its text.
+struct WithDescriptor {
+  WithDescriptor(char* text, std::size_t size) : bytes{text, size} {
+    message.msg_iov = &bytes;
+    message.msg_iovlen = 1;
+    message.msg_control = room.data();
+    message.msg_controllen = room.size();
+  }
+  WithDescriptor(const WithDescriptor&) = delete;
+  WithDescriptor& operator=(const WithDescriptor&) = delete;
+  iovec bytes;
+  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> room{};
+  msghdr message{};
+};
+
 // A line and a descriptor go in one message, so that both come or none.
 bool tell(const Socket& to, const std::string& line, int descriptor) {
   std::string text = line + '\n';
-  iovec bytes{text.data(), text.size()};
-  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> room{};
-  msghdr message{};
-  message.msg_iov = &bytes;
-  message.msg_iovlen = 1;
-  message.msg_control = room.data();
-  message.msg_controllen = room.size();
+  WithDescriptor sent(text.data(), text.size());
+  msghdr& message = sent.message;
   cmsghdr* const head = CMSG_FIRSTHDR(&message);
   head->cmsg_level = SOL_SOCKET;
   head->cmsg_type = SCM_RIGHTS;
@@ -87,13 +97,8 @@
                          static_cast<suseconds_t>(wait_ms * 1'000) % 1'000'000};
   ::setsockopt(link.fd(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
   std::array<char, 4096> text{};
-  iovec bytes{text.data(), text.size()};
-  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> room{};
-  msghdr message{};
-  message.msg_iov = &bytes;
-  message.msg_iovlen = 1;
-  message.msg_control = room.data();
-  message.msg_controllen = room.size();
+  WithDescriptor come(text.data(), text.size());
+  msghdr& message = come.message;
   ssize_t got = 0;
   do got = ::recvmsg(link.fd(), &message, MSG_CMSG_CLOEXEC);
   while (got < 0 && errno == EINTR);
