Take back what nobody waits for before its last byte; decide in one place what may begin

An execution that waited for a thread, a connect or its settling went out after its client had left; so did one at its deadline, and a repeat whose window ended during the settling. A result that a worker sends twice, some ms late, was taken for the next query's answer where it came while that one settled. Ruled out: a client that leaves between the front's take() and errand_ being set, as hand_over(), ready() and the loop run on the park's one thread; one that leaves in the turn of its answer, as settle() lets go of the asker once. At fault: DecisionLoop::take(ClientGone), ServerLinks::send(), which looked at window and drains before the first byte only. Now: whoever is answered or has gone lets go in one place (let_go), which withdraws what is out. ServerLinks::commit() is the one place that decides, under the mutex that withdraw() takes, whether the last byte goes: not withdrawn, in time, in its window. What did not run is moot, which cuts no limit. A worker that drains is moot too, not a failed connect: one try less, and no blame for its zone; the two assertions on that status are as strict as before.

--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -127,7 +127,7 @@
   // The id may be another client's query, and this one have been told so.
   if (found == queries_.end() || !found->second.asker || found->second.asker != message.asker) return;
   counts_.gone += 1;
-  found->second.asker.reset();
+  let_go(*found);
   feed(woadtide::RequestGone{message.query});
   drop_if_over(message.query);
 }
@@ -154,11 +154,11 @@
     witness_->ended(message.key, message.status, message.result, message.failed || message.bad_query);
   // Only the first result reaches the client, and before the module hears of it: it is owed at once.
   if (message.status == Status::ok && found->second.asker && is_out(message.key))
-    settle(found->second, {AnswerKind::served, std::move(message.result)});
+    settle(*found, {AnswerKind::served, std::move(message.result)});
   // What is wrong with the query is no news of the worker, which the module would leave alone for it, and no
   // other worker would take it.
   if (message.bad_query) {
-    settle(found->second, {AnswerKind::bad_query, "the worker cannot use it"});
+    settle(*found, {AnswerKind::bad_query, "the worker cannot use it"});
     return end(message.key, Status::cancelled, message.report);
   }
   end(message.key, message.status, message.report);
@@ -225,7 +225,7 @@
     if (open.asker) unsettled.push_back(id);
   if (!unsettled.empty()) log_line("end: " + std::to_string(unsettled.size()) + " queries failed unfinished");
   for (const std::string& id : unsettled) {
-    settle(queries_.at(id), {AnswerKind::failed, {}});
+    settle(*queries_.find(id), {AnswerKind::failed, {}});
     feed(woadtide::RequestGone{id});
     drop_if_over(id);
   }
@@ -261,7 +261,7 @@
 void DecisionLoop::act(const woadtide::Refuse& action) {
   const auto found = queries_.find(action.id);
   if (found == queries_.end()) return;
-  settle(found->second, {AnswerKind::refused, {}, to_ms(action.retry_after)});
+  settle(*found, {AnswerKind::refused, {}, to_ms(action.retry_after)});
   drop_if_over(action.id);
 }
 
@@ -269,7 +269,7 @@
   const auto found = queries_.find(action.id);
   if (found == queries_.end()) return;
   const bool late = clock_.now() >= found->second.deadline;
-  settle(found->second, {late ? AnswerKind::timed_out : AnswerKind::failed, {}});
+  settle(*found, {late ? AnswerKind::timed_out : AnswerKind::failed, {}});
   drop_if_over(action.id);
 }
 
@@ -284,15 +284,28 @@
 // Endings ----------------------------------------------------------------------------------------------
 
 // The one place that answers a client: a query is settled exactly once.
-void DecisionLoop::settle(Open& open, Answer answer) {
-  if (!open.asker) return;
+void DecisionLoop::settle(Queries::value_type& query, Answer answer) {
+  const std::shared_ptr<Asker> asker = let_go(query);
+  if (!asker) return;
+  const Open& open = query.second;
   counts_.answers[static_cast<std::size_t>(answer.kind)] += 1;
   ClassFigures& figures = totals_[open.class_index].figures;
   if (answer.kind == AnswerKind::served)
     figures.add_served(clock_.now() - open.taken, clock_.now() > open.wanted_by);
   else
     (answer.kind == AnswerKind::refused ? figures.refused : figures.failed) += 1;
-  std::exchange(open.asker, nullptr)->answer(std::move(answer));
+  asker->answer(std::move(answer));
+}
+
+// From here on nobody waits for it. What still waits for a thread, a connect or its last byte would run for
+// nothing, a payout behind the back of its client.
+std::shared_ptr<Asker> DecisionLoop::let_go(Queries::value_type& query) {
+  auto& [id, open] = query;
+  std::shared_ptr<Asker> asker = std::exchange(open.asker, nullptr);
+  if (!asker) return nullptr;
+  for (std::size_t i = 0; i < open.executions.size(); ++i)
+    if (open.executions[i].out) executor_.withdraw({id, static_cast<int>(i)});
+  return asker;
 }
 
 bool DecisionLoop::is_out(const ExecutionKey& key) const {
@@ -339,7 +352,7 @@
   if (still == queries_.end() || !still->second.asker) return;
   // The module should have answered by now. Whatever held it up, the client is owed an answer.
   log_line("module: no answer for a query at its deadline");
-  settle(still->second, {AnswerKind::timed_out, {}});
+  settle(*still, {AnswerKind::timed_out, {}});
   feed(woadtide::RequestGone{id});
   drop_if_over(id);
 }
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -96,7 +96,8 @@
   void exclude(const std::string& worker, bool excluded);
   const char* wrong_with(const Query& query, bool class_known) const;
   void feed(const woadtide::Event& event);
-  void settle(Open& open, Answer answer);
+  void settle(Queries::value_type& query, Answer answer);
+  std::shared_ptr<Asker> let_go(Queries::value_type& query);
   bool is_out(const ExecutionKey& key) const;
   void end(const ExecutionKey& key, woadtide::Status status, const std::string& report);
   void time_out(const ExecutionKey& key);
--- a/src/core/query.hpp
+++ b/src/core/query.hpp
@@ -67,6 +67,9 @@
   virtual void start(Execution execution) = 0;
   // Stops waiting for it; the worker works on.
   virtual void cancel(const ExecutionKey& key) = 0;
+  // Nobody waits for it any more. Where its last byte is not out by now it never goes out: Status::moot. Else
+  // nothing changes.
+  virtual void withdraw(const ExecutionKey& key) = 0;
   virtual void probe(const std::string& worker) = 0;
   // From here on nothing new goes to this worker, whatever is on its way; or it may again.
   virtual void exclude(const std::string& worker, bool excluded) = 0;
--- a/src/jobs/keeper.hpp
+++ b/src/jobs/keeper.hpp
@@ -103,6 +103,10 @@
 
   void start(core::Execution execution) override;
   void cancel(const core::ExecutionKey& key) override;
+  // A job's execution goes by its lease, whoever has gone.
+  void withdraw(const core::ExecutionKey& key) override {
+    if (!is_job(key)) next_.withdraw(key);
+  }
   void probe(const std::string& worker) override { next_.probe(worker); }
   void exclude(const std::string& worker, bool excluded) override { next_.exclude(worker, excluded); }
   void heard(const core::ExecutionKey& key) override;
--- a/src/lab/flawed.cpp
+++ b/src/lab/flawed.cpp
@@ -73,6 +73,7 @@
     links_.start(std::move(execution));
   }
   void cancel(const core::ExecutionKey& key) override { links_.cancel(key); }
+  void withdraw(const core::ExecutionKey& key) override { links_.withdraw(key); }
   void probe(const std::string& worker) override { links_.probe(worker); }
   void exclude(const std::string& worker, bool excluded) override { links_.exclude(worker, excluded); }
 
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -179,7 +179,7 @@
     link = fresh.get();
   }
   link->phase = Phase::sending;
-  link->cancelled = link->unheard = false;
+  link->cancelled = link->withdrawn = link->unheard = false;
   link->key = task.execution.key;
   sending_ += 1;
   return link->shared_from_this();
@@ -250,6 +250,16 @@
   }
 }
 
+// Only before the commitment, which looks for it under the same mutex.
+void ServerLinks::withdraw(const core::ExecutionKey& key) {
+  const std::lock_guard lock(mutex_);
+  for (const auto& link : links_) {
+    if (link->phase != Phase::sending || link->key != key) continue;
+    link->cancelled = link->withdrawn = true;
+    if (link->socket) link->socket.shut();
+  }
+}
+
 // To a query's last byte, on the crew's threads -------------------------------------------------------------
 
 void ServerLinks::carry_out(Link& link) {
@@ -281,9 +291,10 @@
 // goes on over a fresh link, once.
 std::optional<ServerLinks::Ending> ServerLinks::hand_over(Link& link) {
   for (bool again = false;; again = true) {
-    if (!link.socket)
+    const bool kept = static_cast<bool>(link.socket);
+    if (!kept)
       if (auto ending = connect(link)) return ending;
-    auto ending = send(link);
+    auto ending = send(link, kept);
     if (again || !ending || ending->status != Status::connect_failed) return ending;
     const std::lock_guard lock(mutex_);
     park_.leave(std::exchange(link.token, park::Park::kNone));
@@ -296,7 +307,7 @@
   Socket fresh = Socket::make(task.host.address);
   {
     const std::lock_guard lock(mutex_);
-    if (link.cancelled) return Ending{Status::cancelled};
+    if (link.cancelled) return stopped(link, Status::cancelled);
     link.socket = std::move(fresh);
   }
   const double begun = clock_.now();
@@ -311,14 +322,14 @@
 // The border between what never ran and what may have is the last byte. A worker that closed the link, or
 // resets it when a query comes, is noticed a round trip behind the first bytes: so the last one waits for
 // that long, and a payout on a broken link can still go elsewhere.
-std::optional<ServerLinks::Ending> ServerLinks::send(Link& link) {
+std::optional<ServerLinks::Ending> ServerLinks::send(Link& link, bool kept) {
   const Task& task = link.task;
   const core::Execution& execution = task.execution;
-  // The connect may have outlived a drain notice, and nothing new may go to a worker that drains.
+  // The connect may have outlived a drain notice, and nothing new may go to a worker that drains; nor to one
+  // that an operator has taken out meanwhile. It says nothing of the worker.
   const auto host = hosts_.find(execution.worker);
-  if (!host || host->entry.state != woadtide::WorkerState::ready) return broken(link, Status::connect_failed);
-  // Nor to one that an operator has taken out meanwhile. It says nothing of the worker.
-  if (is_excluded(execution.worker)) return Ending{Status::moot};
+  if (!host || host->entry.state != woadtide::WorkerState::ready || is_excluded(execution.worker))
+    return Ending{Status::moot};
   // Nor a repeat that its worker would not know for one any more: the connect, or a queue, took its time.
   if (clock_.now() + link.settle_ms > execution.not_after) return Ending{Status::moot};
   const std::string head = head_for(execution, task.host.dial, execution.deadline - clock_.now());
@@ -328,9 +339,23 @@
   const std::string_view last = parts.back().substr(parts.back().size() - 1);
   parts.back().remove_suffix(1);
   const double until = execution.deadline + kBackstopMs;
-  if (link.socket.send(parts, until, clock_) != Io::done || !link.socket.stays_open(link.settle_ms) ||
-      link.socket.send({last}, until, clock_) != Io::done)
+  if (link.socket.send(parts, until, clock_) != Io::done || !link.socket.stays_open(link.settle_ms))
     return broken(link, Status::connect_failed);
+  // What comes on a kept link before its query is whole answers another one: a worker that answers twice.
+  if (kept && !link.socket.quiet()) return broken(link, Status::connect_failed);
+  if (auto ending = commit(link)) return ending;
+  if (link.socket.send({last}, until, clock_) != Io::done) return broken(link, Status::connect_failed);
+  return std::nullopt;
+}
+
+// The one place that decides whether an execution begins. A repeat past its window would be a second payout;
+// at the deadline its client has gone.
+std::optional<ServerLinks::Ending> ServerLinks::commit(Link& link) {
+  const core::Execution& execution = link.task.execution;
+  const std::lock_guard lock(mutex_);
+  if (link.cancelled) return stopped(link, Status::cancelled);
+  if (clock_.now() > std::min(execution.deadline, execution.not_after)) return Ending{Status::moot};
+  link.phase = Phase::committed;
   return std::nullopt;
 }
 
@@ -350,7 +375,7 @@
     const std::lock_guard lock(mutex_);
     phase = link.phase;
     const bool news = signs.readable || signs.closed;
-    if (phase == Phase::sending) link.unheard |= news;
+    if (phase == Phase::sending || phase == Phase::committed) link.unheard |= news;
     // Closed, or bytes that nobody asked for.
     if (phase == Phase::idle && news && !link.socket.quiet()) drop(link);
     if (!news) return;
@@ -487,12 +512,13 @@
 
 // What it means that a link broke: our own doing, where it was cancelled.
 ServerLinks::Ending ServerLinks::broken(Link& link, Status otherwise) {
-  return {is_cancelled(link) ? Status::cancelled : otherwise};
+  const std::lock_guard lock(mutex_);
+  return stopped(link, otherwise);
 }
 
-bool ServerLinks::is_cancelled(Link& link) {
-  const std::lock_guard lock(mutex_);
-  return link.cancelled;
+// Under the mutex.
+ServerLinks::Ending ServerLinks::stopped(const Link& link, Status otherwise) {
+  return {link.withdrawn ? Status::moot : link.cancelled ? Status::cancelled : otherwise};
 }
 
 bool ServerLinks::is_excluded(const std::string& worker) {
--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -40,6 +40,7 @@
 
   void start(core::Execution execution) override;
   void cancel(const core::ExecutionKey& key) override;
+  void withdraw(const core::ExecutionKey& key) override;
   void probe(const std::string& worker) override;
   void exclude(const std::string& worker, bool excluded) override;
   // Another bound on links from here on: idle ones over it are closed.
@@ -58,10 +59,13 @@
     bool failed = false;      // the worker's word
     std::string report = {};  // of its load, as it came
   };
-  // idle: for the next execution; sending: a thread of the crew has it; awaiting: of the answer, all that
-  // has come is read; tail: the ending is told, the rest of the answer is still to come; over: to be closed
-  // with the last that holds it.
-  enum class Phase { idle, sending, awaiting, tail, over };
+  // idle: for the next execution; sending: a thread of the crew has it, and the last byte is not out;
+  // committed: that thread sends the last byte, and the execution may run from here on, whoever has gone;
+  // awaiting: of the answer, all that has come is read; tail: the ending is told, the rest of the answer is
+  // still to come; over: to be closed with the last that holds it.
+  // idle -> sending -> committed -> awaiting -> tail -> idle, each but the first also -> over; sending and
+  // awaiting also -> idle.
+  enum class Phase { idle, sending, committed, awaiting, tail, over };
   struct Link : park::Guest, std::enable_shared_from_this<Link> {
     explicit Link(ServerLinks& owner) : links(owner) {}
     void ready(park::Signs signs) override { links.ready(*this, signs); }
@@ -73,7 +77,8 @@
     // Under the mutex:
     Phase phase = Phase::sending;
     bool cancelled = false;
-    bool unheard = false;  // something came while it was sending
+    bool withdrawn = false;  // cancelled before it was committed, as nobody waits for it
+    bool unheard = false;    // something came while it was sending
     double idle_since = 0;
     core::ExecutionKey key;  // of the task at hand
     std::list<std::shared_ptr<Link>>::iterator place;
@@ -101,7 +106,8 @@
   void carry_out(Link& link);
   std::optional<Ending> hand_over(Link& link);
   std::optional<Ending> connect(Link& link);
-  std::optional<Ending> send(Link& link);
+  std::optional<Ending> send(Link& link, bool kept);
+  std::optional<Ending> commit(Link& link);
 
   // On the park's thread.
   void ready(Link& link, park::Signs signs);
@@ -114,7 +120,7 @@
 
   Ending broken(Link& link, woadtide::Status otherwise);
   void report(const Task& task, Ending ending);
-  bool is_cancelled(Link& link);
+  static Ending stopped(const Link& link, woadtide::Status otherwise);
   bool is_excluded(const std::string& worker);
 
   Limits limits_;  // `most` under the mutex
