End every client link by shutting it and reading on, never by a close over bytes that come

Seen by a probe on loopback: an answer of 200 kB that its client still reads, the link closed behind it (by Connection: close, or as one that stands idle at a planned end), and a next query sent in that moment: the kernel resets the link and the rest of the answer is lost, in each of the plays. At fault: ClientLink::sent(), ClientLink::late() and ClientLinks::close_quiet() looked for unread bytes and then closed; what came between the two, or later, reset the link. Ruled out: TCP_NODELAY, set at every accept, so also on links of a listener that was passed to us, and by Socket::make; out_ left over, as sent() comes only behind its last byte. Now there is one way to end a link that its client has not: leave(). Its cost at the bound is one descriptor and no buffer, for 0.5 s at most; at the edge such a link gives way before served ones. Tests, each red without its line: the two closes (client loses the answer), the place at the edge, the bound.

--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -51,9 +51,9 @@
   {
     const std::lock_guard lock(*mutex_);
     if (over_ || (at_work_ && !writing_)) return;
-    const bool leaves = writing_ || standing_ == Standing::leaving;
-    reads = !leaves && (reads_ || reader_.has_rest() || !socket_.quiet());
-    if (!reads) return links_.drop(*this);
+    if (writing_ || standing_ == Standing::leaving) return links_.drop(*this);
+    reads = reads_ || reader_.has_rest() || !socket_.quiet();
+    if (!reads) return links_.leave(*this);
   }
   read();
 }
@@ -198,8 +198,8 @@
   at_work_ = writing_ = false;
   served_ = true;
   worked_ |= worked;
+  if (closes) return links_.leave(*this);
   const bool more = std::exchange(unheard_, false) || reader_.has_rest();
-  if (closes) return more ? links_.leave(*this) : links_.drop(*this);
   links_.put(*this, worked_ ? Standing::idle : Standing::asked);
   side_.park.wake_at(token_, moved_ + side_.idle_ms);
   if (more) side_.park.poke(token_, {.readable = true});
@@ -218,7 +218,7 @@
   take_rest();
 }
 
-// Closing with bytes unread resets the link, and the client could lose the answer that says what was wrong.
+// Closing with bytes unread resets the link, and takes along what the client has not read yet of its answer.
 // But one that sends on and on has had its time.
 void ClientLink::take_rest() {
   std::array<char, 4096> rest{};
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -123,6 +123,9 @@
   if (std::exchange(waits_, false)) side_.park.poke(looks_, {});
 }
 
+// The one way in which we end a link that its client has not: our side is shut, and what still comes is read
+// and passed over, until the client has closed or has had its time. Closed at once, bytes that come in that
+// moment would reset the link under an answer that is on its way.
 void ClientLinks::leave(ClientLink& link) {
   if (link.over_) return;
   link.socket_.shut(SHUT_WR);
@@ -202,7 +205,7 @@
 void ClientLinks::close_quiet(Standing standing, double opened_before) {
   for (auto it = at(standing).begin(); it != at(standing).end();) {
     ClientLink& link = **it++;
-    if (link.opened_ <= opened_before && link.socket_.quiet()) drop(link);
+    if (link.opened_ <= opened_before && link.socket_.quiet()) leave(link);
   }
 }
 
@@ -236,7 +239,8 @@
 // Accepted::one where there is room, full where all links have a query at work: new ones wait. At the edge
 // links go first that asked for health at some time and stayed, then those that are silent and never
 // completed a query: clients that connect by the hundred and say nothing, or half a head, must not push out
-// those that are served, nor those whose query is coming in. Then served ones, longest idle first.
+// those that are served, nor those whose query is coming in. Then those that only wait for their client to
+// close, and served ones, longest idle first.
 ClientLinks::Accepted ClientLinks::make_room() {
   const std::lock_guard lock(*mutex_);
   if (open_here() < most_) return Accepted::one;
@@ -258,6 +262,7 @@
   };
   ClientLink* shed = oldest(Standing::asked, now - kSilentMs);
   if (!shed) shed = unserved(now - kSilentMs);
+  if (!shed) shed = oldest(Standing::leaving, now);
   if (!shed) shed = oldest(Standing::asked, now);
   if (!shed) shed = oldest(Standing::idle, now);
   if (!shed) shed = unserved(now);
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -47,7 +47,8 @@
   using Links = std::list<std::shared_ptr<ClientLink>>;
 
   // Of links, under the mutex: where one stands from now on; it has said all and waits for its client to
-  // close; it is over, and closed with the last that holds it.
+  // close; it is over, as its client has gone, its time is up or its place is needed, and is closed with the
+  // last that holds it.
   void put(ClientLink& link, Standing standing);
   void leave(ClientLink& link);
   void drop(ClientLink& link);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -952,6 +952,53 @@
   CHECK(front.links->open() == 0);
 }
 
+// Guards answers on their way against bytes that come in the moment of a close: closed over them, the link is
+// reset, and what the client has not read yet goes with it.
+TEST_CASE("an answer is read to its end whatever its client sends while the link is being closed") {
+  Front front(8);
+  const Address address("127.0.0.1:" + std::to_string(front.port));
+  const std::string body(200'000, 'r');
+  // Ended by the answer itself, or as a link that stands idle, while most of the answer is on its way.
+  for (const bool by_answer : {true, false}) {
+    CAPTURE(by_answer);
+    std::optional<Peer> client(Socket::make(address));
+    const int small = 2'048;
+    ::setsockopt(client->socket.fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    REQUIRE(client->socket.connect(address, 5'000));
+    std::string query = query_text(by_answer ? "a" : "b", "refund-payout");
+    if (by_answer) query.insert(query.find("X-Budget"), "Connection: close\r\n");
+    client->write(query);
+    front.next<core::QueryArrived>().asker->answer({core::AnswerKind::served, body});
+    while (front.links->count(Standing::busy) > 0) REQUIRE(client->read_some());
+    if (!by_answer) front.links->stop_accepting();
+    front.await(Standing::leaving, 1);
+    client->write(query_text("c", "refund-payout"));
+    CHECK(client->message().ends_with(body));
+    CHECK(client->closed());
+    CHECK(front.links->open() == 1);
+    client.reset();
+    front.await(Standing::leaving, 0);
+    CHECK(front.links->open() == 0);
+    CHECK(front.inbox.take().empty());  // the last query was passed over, and its client is free to repeat it
+  }
+}
+
+// Guards new clients and descriptors against those that do not close behind their answer.
+TEST_CASE("a link that is only to be closed gives way at the edge, and ends by itself after a bound") {
+  Front front(2);
+  Peer first = Peer::to(front.port), second = Peer::to(front.port);
+  for (Peer* one : {&first, &second}) {
+    one->write("GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK(one->message().ends_with("ready\n"));
+  }
+  front.await(Standing::leaving, 2);
+  Peer third = front.served();
+  CHECK(front.links->count(Standing::leaving) == 1);
+  front.clock.set(kNow + 500);
+  front.await(Standing::leaving, 0);
+  CHECK(front.links->count(Standing::asked) == 1);
+}
+
 // Guards all others against one that sends as fast as it is read: there is one thread for all of them.
 TEST_CASE("a link that floods is read a turn at a time, and told so when its time is over") {
   core::Clock clock;
