Let a peer that floods have one turn at a time, also behind its result

Seen in the code (answers without end): Intake::more() was out of its turn in one call only. Asked again in the same turn, as rest_is_over() does behind a result, it read on for as long as a worker sent, on the one thread that reads and decides for all. At fault: the == in Intake::more(), and ready(), which began no turn for the tail. Ruled out: heads and lines that come while an answer is awaited (hear() begins a turn, and the loop gives up at the deadline); 1xx without end, the same way. The test asks again in the same turn, and was red.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -211,7 +211,7 @@
 
 Io Intake::more(double deadline) {
   const bool waits = deadline != kNoWait;
-  starved_ = !waits && reads_++ == kReadsAtOnce;
+  starved_ = !waits && reads_++ >= kReadsAtOnce;  // for all of the turn: it may ask again
   if (starved_) return Io::late;
   if (from_ == to_) {
     buffer_.reset();
--- a/src/net/server_links.cpp
+++ b/src/net/server_links.cpp
@@ -380,9 +380,12 @@
     if (phase == Phase::idle && news && !link.socket.quiet()) drop(link);
     if (!news) return;
   }
-  if (phase == Phase::tail && rest_is_over(link)) {
-    const std::lock_guard lock(mutex_);
-    rest(link, true);
+  if (phase == Phase::tail) {
+    link.intake->begin_turn();
+    if (rest_is_over(link)) {
+      const std::lock_guard lock(mutex_);
+      rest(link, true);
+    }
   }
   if (phase != Phase::awaiting || hear(link)) return;
   const double until = link.task.execution.deadline + kBackstopMs;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1019,6 +1019,9 @@
   while (reader.next(line, Intake::kNoWait) == LineReader::Got::line) read += 1;
   CHECK(intake.starved());
   CHECK(read < 9 * kBufferBytes);
+  CHECK(reader.next(line, Intake::kNoWait) == LineReader::Got::late);  // its turn is over, whoever asks again
+  CHECK_FALSE(reader.skip_all(Intake::kNoWait));
+  CHECK(intake.starved());
   intake.begin_turn();
   while (reader.next(line, Intake::kNoWait) == LineReader::Got::line) read += 1;
   CHECK_FALSE(intake.starved());
