Take queries for longer at a planned end where all deadlines are short

Seen in the code (finish()'s constants against short deadlines): queries are refused once less than 0.7 s are left before all must be answered. Where the longest deadline is under 0.4 s, that is from SIGTERM on, though each would have ended in time. Now the time is the shorter of the longest deadline and 0.7 s. The other constants follow from the protocol's 0.2 to 0.4 s of new links and its SIGKILL at the longest deadline plus 0.7 s, and hold with any deadline. The test ends a node whose deadlines are 0.3 s while a query comes at 0.29 s; red without it.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -231,12 +231,14 @@
     const auto is_busy = [this] { return clients_.open() > 0 || (addition_ && addition_->busy() > 0); };
     while (clock_.now() < until && (!while_open || is_busy())) ::poll(nullptr, 0, 10);
   };
-  side_.read_until = last - kLastQueriesMs;
+  // Where all deadlines are shorter than that, what is read later is answered in time all the same.
+  const double read_until = last - std::min(longest_ms_, kLastQueriesMs);
+  side_.read_until = read_until;
   if (front_.ready) {
     core::log_line("end: the next process takes the clients");
     clients_.leave_to_other();
   } else {
-    pause_until(std::max(told + kAcceptOnMs, last - kLastQueriesMs), false);
+    pause_until(std::max(told + kAcceptOnMs, read_until), false);
     clients_.stop_accepting();
   }
   pause_until(clock_.now() + kLastAnswersMs, false);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1194,5 +1194,35 @@
   end.join();
 }
 
+// Guards clients of a deployment whose deadlines are all short: told the same for longer than they last, each
+// of their queries would be refused from SIGTERM on.
+TEST_CASE("at a planned end what can still be answered in time is taken, however short the deadlines") {
+  Port worker, discovery;
+  core::Clock clock;
+  clock.set(kNow);
+  nlohmann::json config = config_json(Hosts{host_json("w", worker.dial())}, discovery.dial());
+  for (nlohmann::json& kind : config["settings"]["Categories"]) kind["DeadlineUs"] = 300'000;
+  Node node(core::read_config(config), clock);
+  std::atomic<bool> ended{false};
+  std::thread end([&] {
+    node.finish();
+    ended = true;
+  });
+  Peer client = Peer::to(node.port());
+  const std::string ask = "GET /health/ready HTTP/1.1\r\n\r\n";
+  do client.write(ask);
+  while (starts(client.message(), "HTTP/1.1 200 "));
+  clock.set(kNow + 290);
+  std::string query = query_text("a1", "refund-payout");
+  client.write(query.replace(query.find("5000m"), 5, "300m"));
+  Peer link = worker.accept();
+  link.message();
+  clock.set(kNow + 560);
+  link.write(done("a1", "one"));
+  CHECK(client.message().ends_with("\r\n\r\none"));
+  while (!ended) clock.set(clock.now() + 1);
+  end.join();
+}
+
 }  // namespace
 }  // namespace woadtide::net
