Do not count a late answer as overload where its worker reports a free slot

Starts are not told there, and an answer is late as often for its own running (a model to fetch, a rough hint) as for a queue. Now a late answer that comes with a report of a free slot is no sign of overload to the shared limit. Each worker's own limit judges as before, and home, whose reports come by probes, is untouched.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -226,9 +226,10 @@
 
   // One of many dispatchers has an answer from a given worker once in minutes: what is too thin is judged
   // together, and as it comes, by its wait already, so that all still refuse when hundreds overfill a fleet.
-  void count(Worker& worker, Attempt& attempt, double late) {
+  // A worker that has a slot free was not late for want of it.
+  void count(Worker& worker, Attempt& attempt, double late, bool idle = false) {
     worker.limiter.ratios.push_back(late);
-    count_shared(worker, attempt, late > 1);
+    count_shared(worker, attempt, late > 1 && !idle);
   }
 
   // A few stuck jobs would outweigh all that go well: each attempt counts once.
@@ -416,7 +417,7 @@
     if (attempt->began) worker.running = worker.jobs == 0 ? 0 : worker.running - job.request.slots;
     if (outcome.status == Status::cancelled || outcome.status == Status::timeout)
       leave(worker, job, *attempt);
-    observe(worker, job, *attempt, outcome.status);
+    observe(worker, job, *attempt, outcome.status, outcome.load && outcome.load->free_slots.value_or(0) >= 1);
     if (outcome.load) hear(worker, *outcome.load);
     if (Health& health = health_of(worker, job); --health.jobs == 0) health.mute = false;
     if (!proves_not_run(outcome.status) && !job.may_have_run)
@@ -555,7 +556,7 @@
   template <class Unused>
   void on(const Unused&) {}
 
-  void observe(Worker& worker, Job& job, Attempt& attempt, Status status) {
+  void observe(Worker& worker, Job& job, Attempt& attempt, Status status, bool idle) {
     if (status == Status::full || status == Status::timeout || status == Status::connect_failed)
       worker.limiter.timeout_seen = true;
     if (status == Status::connect_failed || status == Status::reset) worker.link_failures += 1;
@@ -563,7 +564,7 @@
     if (status == Status::full) count_shared(worker, attempt, true);
     // A full worker has the least of our work and would draw every next job before one of its own can end.
     if (status == Status::full) worker.full_until = now_ + scaled(seconds_span(mean_load_), spread());
-    if (status == Status::ok) return observe_ok(worker, job, attempt);
+    if (status == Status::ok) return observe_ok(worker, job, attempt, idle);
     if (status == Status::full || status == Status::moot) return;
     Health& health = health_of(worker, job);
     if (status == Status::cancelled) return health.mute ? bar(worker, health) : void();
@@ -583,9 +584,9 @@
       if (worker.entry.zone == zone) start_cold(worker, now_);
   }
 
-  void observe_ok(Worker& worker, Job& job, Attempt& attempt) {
+  void observe_ok(Worker& worker, Job& job, Attempt& attempt, bool idle) {
     const Micros latency = now_ - attempt.sent;
-    count(worker, attempt, ratio(latency, job.threshold));
+    count(worker, attempt, ratio(latency, job.threshold), idle);
     Micros& usual = class_work_[job.request.class_index];
     usual = usual.count() == 0 ? latency : usual + scaled(latency - usual, kSmoothing);
     if (job.work.count() > 0) {
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -140,7 +140,7 @@
 // A dispatcher that sees each worker once in minutes never fills a worker's window: overload was met by
 // lateness everywhere. Its windows are judged together, and the shared limit refuses.
 TEST(ManyDispatchers, RefuseEarlyWhenEverythingIsLate) {
-  const auto refused = [](Micros took) {
+  const auto refused = [](Micros took, std::optional<double> free_slots = {}) {
     Settings s = plain_settings();
     s.dispatchers = 300;
     Driver d(s);
@@ -151,7 +151,9 @@
     std::multimap<Micros, std::string> ends;
     for (int i = 0; i < 200; ++i) {
       while (!ends.empty() && ends.begin()->first <= d.now) {
-        d.finish(ends.begin()->second);
+        LoadReport load;
+        load.free_slots = free_slots;
+        d.feed(Outcome{ends.begin()->second, 0, Status::ok, 0us, true, load});
         ends.erase(ends.begin());
       }
       const std::string id = "j" + std::to_string(i);
@@ -165,6 +167,9 @@
   };
   EXPECT_EQ(refused(200ms), 0);
   EXPECT_GT(refused(1s), 50);
+  // Late for its own running, at workers that have slots free, is no overload; what is out past its threshold
+  // as the limits are looked at still counts.
+  EXPECT_LT(refused(1s, 2.0), refused(1s, 0.0) / 2);
 }
 
 // A safe job stuck in a queue is moved while it can still be in time; an unsafe one never is.
