--- a/tests/reload.sh
+++ b/tests/reload.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# SIGHUP, as the platform sends it: new files, a bad one, several in a row, then SIGTERM in their midst.
+# SIGHUP, as the platform sends it: new files, a bad one, several in a row, then SIGTERM twice in their midst.
 # Usage: reload.sh WOADTIDE. Waits for log lines only, 10 s at the longest for each.
 set -eu
 dir=$(mktemp -d)
@@ -41,6 +41,7 @@
 await "reload: done, discovery at 127.0.0.4:1"
 kill -HUP "$pid"
 kill -TERM "$pid"
+kill -TERM "$pid"
 kill -HUP "$pid"
 wait "$pid"
 pid=
