--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -26,12 +26,12 @@
 void ClientLink::ready(park::Signs signs) {
   hung_up_ |= signs.closed;
   std::shared_ptr<Errand> nobody_waits;
-  bool writes = false, leaves = false;
+  bool writes = false, lingers = false;
   {
     const std::lock_guard lock(*mutex_);
     if (over_) return;
     writes = writing_;
-    leaves = standing_ == Standing::leaving;
+    lingers = state_ == ConnectionState::lingering;
     if (at_work_ && !writes) {
       unheard_ |= signs.readable;
       if (!hung_up_) return;
@@ -42,7 +42,7 @@
   }
   if (nobody_waits) return nobody_waits->gone();
   if (writes) return write_on();
-  if (leaves) return take_rest();
+  if (lingers) return take_rest();
   read();
 }
 
@@ -51,9 +51,9 @@
   {
     const std::lock_guard lock(*mutex_);
     if (over_ || (at_work_ && !writing_)) return;
-    if (writing_ || standing_ == Standing::leaving) return links_.drop(*this);
+    if (writing_ || state_ == ConnectionState::lingering) return links_.drop(*this);
     reads = reads_ || reader_.has_rest() || !socket_.quiet();
-    if (!reads) return links_.leave(*this);
+    if (!reads) return links_.linger(*this);
   }
   read();
 }
@@ -132,7 +132,7 @@
   side_.park.wake_at(token_, when);
   if (!came) return;
   const std::lock_guard lock(*mutex_);
-  links_.put(*this, served_ ? Standing::busy : Standing::reading);
+  links_.put(*this, served_ ? ConnectionState::busy : ConnectionState::reading);
 }
 
 void ClientLink::hand_over() {
@@ -140,7 +140,7 @@
   {
     const std::lock_guard lock(*mutex_);
     at_work_ = true;
-    links_.put(*this, Standing::busy);
+    links_.put(*this, ConnectionState::busy);
   }
   auto errand = side_.front.take(shared_from_this(), reader_.take());
   {
@@ -198,9 +198,9 @@
   at_work_ = writing_ = false;
   served_ = true;
   worked_ |= worked;
-  if (closes) return links_.leave(*this);
+  if (closes) return links_.linger(*this);
   const bool more = std::exchange(unheard_, false) || reader_.has_rest();
-  links_.put(*this, worked_ ? Standing::idle : Standing::asked);
+  links_.put(*this, worked_ ? ConnectionState::idle : ConnectionState::asked);
   side_.park.wake_at(token_, moved_ + side_.idle_ms);
   if (more) side_.park.poke(token_, {.readable = true});
 }
@@ -213,7 +213,7 @@
     const std::lock_guard lock(*mutex_);
     if (over_) return;
     at_work_ = false;
-    links_.leave(*this);
+    links_.linger(*this);
   }
   take_rest();
 }
--- a/src/net/client_link.hpp
+++ b/src/net/client_link.hpp
@@ -55,8 +55,8 @@
 // Where a link stands, which says whether it may be closed to make room:
 // fresh: no byte of its first message has come; reading: a part of it was read; asked: answered, but it never
 // brought a query to work on; idle: between two messages; busy: its next message is coming in, or one is at
-// work; leaving: all is said, its client is to close.
-enum class Standing { fresh, reading, asked, idle, busy, leaving };
+// work; lingering: all is said, its client is to close.
+enum class ConnectionState { fresh, reading, asked, idle, busy, lingering };
 
 class ClientLinks;
 
@@ -98,7 +98,7 @@
   std::string out_;  // what is still to go of the answer
   bool closes_after_ = false, worked_after_ = false;
   // Under the mutex:
-  Standing standing_ = Standing::fresh;
+  ConnectionState state_ = ConnectionState::fresh;
   bool at_work_ = false;  // the front has its message
   bool unheard_ = false;  // bytes came meanwhile
   bool writing_ = false;  // out_ is on its way
--- a/src/net/client_links.cpp
+++ b/src/net/client_links.cpp
@@ -92,14 +92,14 @@
   return open_here();
 }
 
-std::size_t ClientLinks::count(Standing standing) {
+std::size_t ClientLinks::count(ConnectionState state) {
   const std::lock_guard lock(*mutex_);
-  return at(standing).size();
+  return at(state).size();
 }
 
-double ClientLinks::last_moved(Standing standing) {
+double ClientLinks::last_moved(ConnectionState state) {
   const std::lock_guard lock(*mutex_);
-  return at(standing).empty() ? 0 : at(standing).back()->moved_;
+  return at(state).empty() ? 0 : at(state).back()->moved_;
 }
 
 std::size_t ClientLinks::open_here() const {
@@ -111,12 +111,12 @@
 // Where links stand, under the mutex ---------------------------------------------------------------------
 
 // What has just been read of a link may be of one that stop() has dropped meanwhile.
-void ClientLinks::put(ClientLink& link, Standing standing) {
+void ClientLinks::put(ClientLink& link, ConnectionState state) {
   if (link.over_) return;
-  at(standing).splice(at(standing).end(), at(link.standing_), link.place_);
-  link.standing_ = standing;
+  at(state).splice(at(state).end(), at(link.state_), link.place_);
+  link.state_ = state;
   link.moved_ = side_.clock.now();
-  if (standing != Standing::busy) tell_waiting();  // it can give way now
+  if (state != ConnectionState::busy) tell_waiting();  // it can give way now
 }
 
 void ClientLinks::tell_waiting() {
@@ -126,12 +126,12 @@
 // The one way in which we end a link that its client has not: our side is shut, and what still comes is read
 // and passed over, until the client has closed or has had its time. Closed at once, bytes that come in that
 // moment would reset the link under an answer that is on its way.
-void ClientLinks::leave(ClientLink& link) {
+void ClientLinks::linger(ClientLink& link) {
   if (link.over_) return;
   link.socket_.shut(SHUT_WR);
   link.at_work_ = false;
   link.until_ = side_.clock.now() + kLastWordMs;
-  put(link, Standing::leaving);
+  put(link, ConnectionState::lingering);
   side_.park.wake_at(link.token_, link.until_);
   side_.park.poke(link.token_, {.readable = true});
 }
@@ -141,7 +141,7 @@
   tell_waiting();
   link.errand_.reset();
   side_.park.leave(link.token_);
-  at(link.standing_).erase(link.place_);
+  at(link.state_).erase(link.place_);
 }
 
 // The park's thread ---------------------------------------------------------------------------------------
@@ -183,8 +183,9 @@
     while (open_here() > most_ && shed_one()) {
     }
     if (since <= 0 || now < since + kFrontMs) return;
-    for (const Standing standing : {Standing::idle, Standing::asked}) close_quiet(standing, now);
-    if (now >= since + kLastFirstMs) close_quiet(Standing::fresh, now - kFirstMs);
+    for (const ConnectionState state : {ConnectionState::idle, ConnectionState::asked})
+      close_quiet(state, now);
+    if (now >= since + kLastFirstMs) close_quiet(ConnectionState::fresh, now - kFirstMs);
   }
   if (now > side_.read_until) refuse_half();
 }
@@ -194,18 +195,18 @@
   std::vector<std::shared_ptr<ClientLink>> halves;
   {
     const std::lock_guard lock(*mutex_);
-    for (const Standing standing : {Standing::reading, Standing::busy})
-      for (const auto& link : at(standing))
+    for (const ConnectionState state : {ConnectionState::reading, ConnectionState::busy})
+      for (const auto& link : at(state))
         if (!link->at_work_ && link->socket_.quiet()) halves.push_back(link);
   }
   for (const auto& link : halves) link->reject(503, "clients are sent away");
 }
 
 // Under the mutex. One whose bytes have come is left: its query is answered, and its link closed by that.
-void ClientLinks::close_quiet(Standing standing, double opened_before) {
-  for (auto it = at(standing).begin(); it != at(standing).end();) {
+void ClientLinks::close_quiet(ConnectionState state, double opened_before) {
+  for (auto it = at(state).begin(); it != at(state).end();) {
     ClientLink& link = **it++;
-    if (link.opened_ <= opened_before && link.socket_.quiet()) leave(link);
+    if (link.opened_ <= opened_before && link.socket_.quiet()) linger(link);
   }
 }
 
@@ -224,7 +225,7 @@
   const auto link = std::make_shared<ClientLink>(std::move(socket), side_, *this);
   const std::lock_guard lock(*mutex_);
   link->moved_ = link->opened_;
-  link->place_ = at(Standing::fresh).insert(at(Standing::fresh).end(), link);
+  link->place_ = at(ConnectionState::fresh).insert(at(ConnectionState::fresh).end(), link);
   try {
     link->token_ = side_.park.enter(link, link->socket_.fd());
   } catch (const std::exception& failed) {
@@ -248,23 +249,25 @@
   if (wait_for(listener_.fd(), POLLIN, -1, 0, side_.clock).first == 0) return Accepted::none;
   if (all_open_.due(side_.clock.now()))
     core::log_line("acceptor: all " + std::to_string(most_) + " client links are open, " +
-                   std::to_string(at(Standing::fresh).size() + at(Standing::reading).size()) + " unserved, " +
-                   std::to_string(at(Standing::asked).size() + at(Standing::idle).size()) + " idle");
+                   std::to_string(at(ConnectionState::fresh).size() + at(ConnectionState::reading).size()) +
+                   " unserved, " +
+                   std::to_string(at(ConnectionState::asked).size() + at(ConnectionState::idle).size()) +
+                   " idle");
   waits_ = !shed_one() || open_here() >= most_;
   return waits_ ? Accepted::full : Accepted::one;
 }
 
 bool ClientLinks::shed_one() {
   const double now = side_.clock.now();
-  const auto oldest = [this](Standing standing, double moved_before) {
-    const Links& links = at(standing);
+  const auto oldest = [this](ConnectionState state, double moved_before) {
+    const Links& links = at(state);
     return !links.empty() && links.front()->moved_ <= moved_before ? links.front().get() : nullptr;
   };
-  ClientLink* shed = oldest(Standing::asked, now - kSilentMs);
+  ClientLink* shed = oldest(ConnectionState::asked, now - kSilentMs);
   if (!shed) shed = unserved(now - kSilentMs);
-  if (!shed) shed = oldest(Standing::leaving, now);
-  if (!shed) shed = oldest(Standing::asked, now);
-  if (!shed) shed = oldest(Standing::idle, now);
+  if (!shed) shed = oldest(ConnectionState::lingering, now);
+  if (!shed) shed = oldest(ConnectionState::asked, now);
+  if (!shed) shed = oldest(ConnectionState::idle, now);
   if (!shed) shed = unserved(now);
   if (shed) drop(*shed);
   return shed;
@@ -273,8 +276,8 @@
 // The longest silent one. One whose bytes have come, but were not read yet, is not silent.
 ClientLink* ClientLinks::unserved(double moved_before) {
   ClientLink* found = nullptr;
-  for (const Standing standing : {Standing::fresh, Standing::reading})
-    for (const auto& link : at(standing)) {
+  for (const ConnectionState state : {ConnectionState::fresh, ConnectionState::reading})
+    for (const auto& link : at(state)) {
       if (link->moved_ > moved_before || (found && found->moved_ <= link->moved_)) break;
       if (!link->socket_.quiet()) continue;
       found = link.get();
--- a/src/net/client_links.hpp
+++ b/src/net/client_links.hpp
@@ -37,9 +37,9 @@
   void evacuate();
   void activate();
   std::size_t open();
-  std::size_t count(Standing standing);
+  std::size_t count(ConnectionState state);
   // When the last link of those that stand so came to, or its last byte since; 0 where there is none.
-  double last_moved(Standing standing);
+  double last_moved(ConnectionState state);
   int port() const { return port_; }
 
  private:
@@ -49,8 +49,8 @@
   // Of links, under the mutex: where one stands from now on; it has said all and waits for its client to
   // close; it is over, as its client has gone, its time is up or its place is needed, and is closed with the
   // last that holds it.
-  void put(ClientLink& link, Standing standing);
-  void leave(ClientLink& link);
+  void put(ClientLink& link, ConnectionState state);
+  void linger(ClientLink& link);
   void drop(ClientLink& link);
   void tell_waiting();
 
@@ -60,7 +60,7 @@
   void look();
   void accept_waiting();
   void sweep(double now);
-  void close_quiet(Standing standing, double opened_before);
+  void close_quiet(ConnectionState state, double opened_before);
   void refuse_half();
   enum class Accepted { one, none, full, later };
   Accepted accept_one();
@@ -68,7 +68,7 @@
   ClientLink* unserved(double moved_before);
   bool shed_one();
   std::size_t open_here() const;
-  Links& at(Standing standing) { return links_[static_cast<std::size_t>(standing)]; }
+  Links& at(ConnectionState state) { return links_[static_cast<std::size_t>(state)]; }
 
   ClientSide& side_;
   std::atomic<std::size_t> most_;
@@ -77,7 +77,7 @@
   std::atomic<bool> stopping_{false}, left_to_other_{false};
   std::atomic<double> evacuated_at_{0};  // 0: not at all
   const std::shared_ptr<std::mutex> mutex_ = std::make_shared<std::mutex>();
-  // By standing, each in the order in which they came to stand so: no walk through all of them at an accept.
+  // By state, each in the order in which they came to stand so: no walk through all of them at an accept.
   std::array<Links, 6> links_;
   bool waits_ = false;  // one waits for a place
   core::Seldom all_open_, no_room_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -292,17 +292,17 @@
     links->start();
   }
   // So many links stand so; what a thread does behind an answer has been done then.
-  void await(Standing standing, std::size_t count) {
+  void await(ConnectionState state, std::size_t count) {
     const core::Clock real;
-    for (const double end = real.now() + 10'000; links->count(standing) != count;) {
+    for (const double end = real.now() + 10'000; links->count(state) != count;) {
       REQUIRE(real.now() < end);
       std::this_thread::yield();
     }
   }
   // A link stands so, and moved last at this time.
-  void await_moved(Standing standing, double at) {
+  void await_moved(ConnectionState state, double at) {
     const core::Clock real;
-    for (const double end = real.now() + 10'000; links->last_moved(standing) != kNow + at;) {
+    for (const double end = real.now() + 10'000; links->last_moved(state) != kNow + at;) {
       REQUIRE(real.now() < end);
       std::this_thread::yield();
     }
@@ -348,13 +348,13 @@
   Front front(2);
   Peer first = front.worked("a"), half = Peer::to(front.port);
   half.write("POST /api HTTP/1.1\r\n");
-  front.await(Standing::reading, 1);
+  front.await(ConnectionState::reading, 1);
   front.clock.set(kNow + 500);
   Peer third = front.worked("b");
   CHECK(half.closed());
-  front.await(Standing::idle, 2);
+  front.await(ConnectionState::idle, 2);
   Front::ask(first);
-  front.await(Standing::idle, 2);
+  front.await(ConnectionState::idle, 2);
   Peer fourth = front.worked("c");
   CHECK(third.closed());
   Front::ask(first);
@@ -367,8 +367,8 @@
   front.side.gap_ms = 0;
   Peer served = front.served(), silent = Peer::to(front.port), dripping = Peer::to(front.port);
   dripping.write("P");
-  front.await(Standing::reading, 1);
-  front.await(Standing::fresh, 1);
+  front.await(ConnectionState::reading, 1);
+  front.await(ConnectionState::fresh, 1);
   front.clock.set(kNow + 19);
   dripping.write("OST /api");
   front.clock.set(kNow + 20);
@@ -384,10 +384,10 @@
   const std::string text = query_text("slow", "refund-payout");
   const auto read = [&](double at) {  // its bytes have been read with the clock there
     front.clock.set(kNow + at);
-    front.await_moved(Standing::reading, at);
+    front.await_moved(ConnectionState::reading, at);
   };
   stopped.write("POST /api");
-  front.await(Standing::reading, 1);
+  front.await(ConnectionState::reading, 1);
   for (int i = 0; i < 5; ++i) {
     const std::size_t size = text.size() / 6;
     front.clock.set(kNow + 900 * i);
@@ -413,18 +413,18 @@
     "at the edge links that asked and stayed go before silent ones, and a query that is coming in stays") {
   Front front(3);
   Peer asked = front.served(), silent = Peer::to(front.port), coming = Peer::to(front.port);
-  front.await(Standing::fresh, 2);
-  front.await(Standing::asked, 1);
+  front.await(ConnectionState::fresh, 2);
+  front.await(ConnectionState::asked, 1);
   front.clock.set(kNow + 500);
   coming.write("POST /api");
-  front.await(Standing::reading, 1);
+  front.await(ConnectionState::reading, 1);
   Peer first = Peer::to(front.port);
   CHECK(asked.closed());
   Peer second = Peer::to(front.port);
   CHECK(silent.closed());
   Peer third = front.served();
   Peer fourth = front.served();
-  front.await(Standing::reading, 1);
+  front.await(ConnectionState::reading, 1);
   const std::string text = query_text("q", "refund-payout");
   coming.write(text.substr(9));
   CHECK(front.next<core::QueryArrived>().query.id == "q");
@@ -434,7 +434,7 @@
 TEST_CASE("a link without a query holds no buffer") {
   Front front(8);
   Peer silent = Peer::to(front.port), served = front.served(), after = front.served();
-  front.await(Standing::asked, 2);
+  front.await(ConnectionState::asked, 2);
   CHECK(front.links->open() == 3);
   CHECK(front.pool.out() == 0);
 }
@@ -563,7 +563,7 @@
   Peer first = front.worked("a"), second = front.worked("b"), busy = Peer::to(front.port);
   busy.write(query_text("c", "refund-payout"));
   const auto arrived = front.next<core::QueryArrived>();
-  front.await(Standing::idle, 2);
+  front.await(ConnectionState::idle, 2);
   front.links->set_most(1);
   CHECK(first.closed());
   CHECK(second.closed());
@@ -940,15 +940,15 @@
   client.write(query_text("q", "refund-payout"));
   const std::string body(8'000'000, 'r');
   front.next<core::QueryArrived>().asker->answer({core::AnswerKind::served, body});
-  front.await(Standing::busy, 1);
-  CHECK(front.links->count(Standing::idle) == 0);  // it is still on its way
+  front.await(ConnectionState::busy, 1);
+  CHECK(front.links->count(ConnectionState::idle) == 0);  // it is still on its way
   CHECK(client.message().ends_with("\r\n\r\n" + body));
-  front.await(Standing::idle, 1);
+  front.await(ConnectionState::idle, 1);
   client.write(query_text("r", "refund-payout"));
   std::optional<Peer> leaves(std::move(client));
   front.next<core::QueryArrived>().asker->answer({core::AnswerKind::served, body});
   leaves.reset();  // in the midst of it
-  front.await(Standing::busy, 0);
+  front.await(ConnectionState::busy, 0);
   CHECK(front.links->open() == 0);
 }
 
@@ -969,15 +969,15 @@
     if (by_answer) query.insert(query.find("X-Budget"), "Connection: close\r\n");
     client->write(query);
     front.next<core::QueryArrived>().asker->answer({core::AnswerKind::served, body});
-    while (front.links->count(Standing::busy) > 0) REQUIRE(client->read_some());
+    while (front.links->count(ConnectionState::busy) > 0) REQUIRE(client->read_some());
     if (!by_answer) front.links->stop_accepting();
-    front.await(Standing::leaving, 1);
+    front.await(ConnectionState::lingering, 1);
     client->write(query_text("c", "refund-payout"));
     CHECK(client->message().ends_with(body));
     CHECK(client->closed());
     CHECK(front.links->open() == 1);
     client.reset();
-    front.await(Standing::leaving, 0);
+    front.await(ConnectionState::lingering, 0);
     CHECK(front.links->open() == 0);
     CHECK(front.inbox.take().empty());  // the last query was passed over, and its client is free to repeat it
   }
@@ -991,12 +991,12 @@
     one->write("GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n");
     CHECK(one->message().ends_with("ready\n"));
   }
-  front.await(Standing::leaving, 2);
+  front.await(ConnectionState::lingering, 2);
   Peer third = front.served();
-  CHECK(front.links->count(Standing::leaving) == 1);
+  CHECK(front.links->count(ConnectionState::lingering) == 1);
   front.clock.set(kNow + 500);
-  front.await(Standing::leaving, 0);
-  CHECK(front.links->count(Standing::asked) == 1);
+  front.await(ConnectionState::lingering, 0);
+  CHECK(front.links->count(ConnectionState::asked) == 1);
 }
 
 // Guards all others against one that sends as fast as it is read: there is one thread for all of them.
@@ -1041,12 +1041,12 @@
       }
       told += 1;
     });
-  front.await(Standing::reading, 6);
+  front.await(ConnectionState::reading, 6);
   for (int i = 0; i < 20; ++i) Front::ask(*std::make_unique<Peer>(Peer::to(front.port)));
   front.clock.set(kNow + 10'000);
-  front.await(Standing::reading, 0);
+  front.await(ConnectionState::reading, 0);
   front.clock.set(kNow + 11'000);
-  front.await(Standing::leaving, 0);
+  front.await(ConnectionState::lingering, 0);
   over = true;
   for (std::thread& one : flood) one.join();
   CHECK(told == 6);
