--- a/src/net/server_links.hpp
+++ b/src/net/server_links.hpp
@@ -63,8 +63,8 @@
   // committed: that thread sends the last byte, and the execution may run from here on, whoever has gone;
   // awaiting: of the answer, all that has come is read; tail: the ending is told, the rest of the answer is
   // still to come; over: to be closed with the last that holds it.
-  // idle -> sending -> committed -> awaiting -> tail -> idle, each but the first also -> over; sending and
-  // awaiting also -> idle.
+  // idle -> sending -> committed -> awaiting -> tail -> idle; each also -> over; sending and awaiting also
+  // -> idle.
   enum class Phase { idle, sending, committed, awaiting, tail, over };
   struct Link : park::Guest, std::enable_shared_from_this<Link> {
     explicit Link(ServerLinks& owner) : links(owner) {}
