Hold a list in force for 6 s without discovery, and call it at an even rate after an outage

Changed, from the terms (a change binds 6 s after discovery had it and could be reached): - src/subscription: when to call and whether the list may be used, a state machine beside the module. Calls that fail begin at most 5/6 of the binding time apart, a large fleet's evenly; only after four times must_ask_within do they slow down to the rate that the settings state. - The client says since when discovery could tell nothing newer (heard, down, not reached). A watch that fell silent, and a 503 after it, prove nothing. The module refuses while the list is not in force. - A process takes clients in with its first list, from discovery or the other process of an upgrade, or after 5.5 s.

Tests: subscription_test (300 and 1,000 clients against a service that takes calls in turn, half restarted: red with the old spread), lists_test and succession_test; without the module's check of the list in force and without the admission they were not tried one by one.

--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -40,7 +40,10 @@
   std::vector<ClassSettings> classes;
   bool list_on_request = false;  // the list must be asked for
   Micros must_ask_within{0};     // with list_on_request: ask at least this often while not subscribed
-  Micros tick{1000};             // least gap between two batches of events
+  // With list_on_request: a change of the list binds so long after discovery had it and could be reached,
+  // heard of or not. 0: only what was heard binds.
+  Micros list_binds_after{0};
+  Micros tick{1000};  // least gap between two batches of events
   // A worker that starts has start_capacity of its capacity and all of it after cold_time; sent more than
   // fall_multiple of what it has at the moment for fall_after, it falls.
   double start_capacity = 1;
@@ -66,7 +69,9 @@
 
 // Events ------------------------------------------------------------------------------------------------
 
-enum class ListKind { changes, full, remembered, failed };
+// interrupted: the watch broke off, and its owner is opening it anew. failed: the owner waits to be asked
+// again.
+enum class ListKind { changes, full, remembered, interrupted, failed };
 enum class WorkerState { ready, draining, gone };
 
 struct ListEntry {
@@ -81,6 +86,9 @@
 struct ListUpdate {
   ListKind kind = ListKind::full;
   std::vector<ListEntry> entries;
+  // remembered, interrupted, failed: when it was last certain that discovery could tell nothing newer, as it
+  // was heard, or was down. Absent: nothing new is known of that.
+  std::optional<Micros> as_of = {};
 };
 
 struct LoadReport {  // absent: not reported here
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "numbers.hpp"
+#include "subscription/list_subscription.hpp"
 
 namespace woadtide {
 namespace {
@@ -24,7 +25,6 @@
 constexpr int kFewestFailures = 2, kMostBars = 4;  // in a row, to leave a worker alone; its doublings
 constexpr int kReports = 8, kSilent = 6;       // for a kind's cores; connects that fail where none succeeds
 constexpr Micros kOvertaken = kInterval / 60;  // later jobs may start before by less, on their way there
-constexpr double kCallShare = 0.008, kAskAtOnce = 8;  // of must_ask_within for a call; calls that are no rush
 constexpr double kJitter = 0.25;               // spread of waits, so that dispatchers do not act in step
 constexpr Micros kWaitMemory = 3 * kInterval;  // fades a wait: one of many dispatchers sees few at a worker
 constexpr double kWaitWeight = 2;   // a wait seen is mostly the work of peers, which nothing else shows
@@ -105,15 +105,17 @@
 }  // namespace
 
 class Dispatcher::State {
+  static Settings usable(Settings settings) {
+    check(settings);
+    if (settings.must_ask_within.count() == 0) settings.must_ask_within = kInterval;  // not told
+    return settings;
+  }
+
  public:
-  State(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
-    check(settings_);
+  State(Settings settings, std::uint64_t seed)
+      : settings_(usable(std::move(settings))), random_(seed), subscription_(settings_) {
     for (const ClassSettings& kind : settings_.classes) least_worth_ = std::min(least_worth_, kind.worth);
     class_work_.assign(settings_.classes.size(), Micros{0});
-    if (settings_.must_ask_within.count() == 0) settings_.must_ask_within = kInterval;  // not told
-    // Discovery takes calls one by one, and works on those that gave up too: all spread theirs over that.
-    const double share = std::clamp(kCallShare * (settings_.dispatchers - kAskAtOnce), 0.0, 0.8);
-    all_ask_ = scaled(settings_.must_ask_within, share);
     // Where starts are not told an answer may be late by its own running: a limit keeps a share of the first.
     if (!settings_.tells_start) least_limit_ = std::max(kMinLimit, kFirstShare / settings_.dispatchers);
   }
@@ -123,18 +125,15 @@
     actions_ = &actions;
     if (std::exchange(started_, true)) return;
     set_timer("limits", scaled(kInterval, uniform(0.5, 1)));
-    if (settings_.list_on_request) ask_in(scaled(all_ask_, uniform(0, 1)));
+    if (settings_.list_on_request) ask_in(subscription_.begin(now, uniform(0, 1)));
   }
 
   void on(const ListUpdate& update) {
-    if (update.kind == ListKind::failed) {
-      // A refused call leaves the list to age: ask again, later each time.
-      listening_ = false;
-      asks_failed_ = std::min(asks_failed_ + 1, kMostBars);
-      const Micros gap = settings_.must_ask_within / 20 * (1 << asks_failed_);
-      return ask_in(scaled(std::max(gap, all_ask_), uniform(0.1, 1)));
-    }
-    if (update.kind != ListKind::remembered) listening_ = true, asks_failed_ = 0;
+    if (update.kind == ListKind::failed)
+      return ask_in(subscription_.on_failure(now_, update.as_of, uniform(0, 1)));
+    if (update.kind == ListKind::interrupted) return subscription_.on_interruption(now_, update.as_of);
+    if (update.kind == ListKind::remembered) subscription_.on_remembered_list(update.as_of);
+    if (update.kind != ListKind::remembered) subscription_.on_list(now_);
     if (update.kind != ListKind::changes)
       for (auto& [name, worker] : workers_) worker.entry.state = WorkerState::gone;
     for (const ListEntry& entry : update.entries) list_worker(entry);
@@ -191,7 +190,7 @@
 
   void ask_for_list() {
     actions_->push_back(Watch{});
-    ask_in(scaled(settings_.must_ask_within / 2, 1 - uniform(0, kJitter)));
+    ask_in(subscription_.on_call(now_, uniform(0, 1)));
   }
 
   // Timers can't be called back: only the newest counts, or each failed call would leave one more behind.
@@ -291,6 +290,7 @@
   Worker* pick(const Job& job) {
     std::vector<std::pair<double, Worker*>> found;
     int best_rank = 1;
+    if (!subscription_.is_list_in_force(now_)) return nullptr;
     const bool use_barred = nearly_all_barred(job);
     shared_slots_ = slots_out(true);
     for (auto& [name, worker] : workers_) {
@@ -667,7 +667,7 @@
   void on(const TimerFired& timer) {
     if (timer.token.starts_with("start ")) check_start(timer.token);
     if (timer.token == "limits") update_limits();
-    if (timer.token == "ask" && !listening_ && now_ >= ask_at_) ask_for_list();
+    if (timer.token == "ask" && !subscription_.is_subscribed() && now_ >= ask_at_) ask_for_list();
   }
 
   void set_timer(const std::string& token, Micros wait) {
@@ -690,9 +690,10 @@
   std::mt19937_64 random_;
   Micros now_{0};
   std::vector<Action>* actions_ = nullptr;
-  bool started_ = false, listening_ = false;  // listening: subscribed to the list, as far as we know
-  int asks_failed_ = 0, sharers_ = 1;         // sharers: processes that take our turns at cold workers
-  Micros ask_at_{0}, all_ask_{0};
+  ListSubscription subscription_;
+  bool started_ = false;
+  int sharers_ = 1;  // processes that take our turns at cold workers
+  Micros ask_at_{0};
   std::map<std::string, Worker> workers_;
   std::map<std::string, Ban> bans_;  // by worker
   std::map<std::string, Job> jobs_;
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "core/clock.hpp"
 #include "core/kin.hpp"
 #include "wire.hpp"
 
@@ -34,6 +35,7 @@
     }
     if (object.contains("known")) config.known = read_host_list(object["known"]);
     config.settings = woadtide::wire::read_settings(object.at("settings"), config.class_names);
+    if (config.settings.list_on_request) config.settings.list_binds_after = to_micros(kToldWithinMs);
     check(config.settings);
     return config;
   } catch (const nlohmann::json::exception& wrong) {
--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -65,8 +65,9 @@
                      {"born_ms", entry.started ? to_ms(*entry.started) : 0.0},
                      {"dial", host.dial}});
   }
-  return nlohmann::json({{"seq", list.seq}, {"whole", list.whole}, {"hosts", std::move(hosts)}})
-      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  nlohmann::json text({{"seq", list.seq}, {"whole", list.whole}, {"hosts", std::move(hosts)}});
+  if (list.as_of_ms) text["as_of_ms"] = *list.as_of_ms;
+  return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 HostList read_host_list(const nlohmann::json& object) {
@@ -74,6 +75,7 @@
     HostList list;
     list.seq = object.at("seq").get<std::int64_t>();
     list.whole = object.at("whole").get<bool>();
+    if (object.contains("as_of_ms")) list.as_of_ms = object["as_of_ms"].get<double>();
     for (const nlohmann::json& host : object.at("hosts")) list.hosts.push_back(read_host(host));
     return list;
   } catch (const nlohmann::json::exception& wrong) {
--- a/src/core/host_list.hpp
+++ b/src/core/host_list.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +12,10 @@
 
 namespace woadtide::core {
 
+// PROTOCOL: what discovery has to tell counts as told so long after it had it and could be reached, whether
+// it arrived or not.
+inline constexpr double kToldWithinMs = 6'000;
+
 struct Host {
   woadtide::ListEntry entry;
   std::string dial;  // host:port, as this dispatcher reaches it
@@ -20,6 +25,8 @@
   std::int64_t seq = 0;
   bool whole = false;
   std::vector<Host> hosts;
+  // Between processes of one dispatcher: when discovery could last tell nothing newer, in ms of the clock.
+  std::optional<double> as_of_ms = {};
 };
 
 // Whether a JSON text that comes in pieces is whole: what was opened is closed. It judges nothing else.
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -20,9 +20,15 @@
 constexpr std::size_t kMostObject = 4 * kMostBody;
 }  // namespace
 
+// Thrown where a watch or a call for one ends.
+struct HostGroup::Failure : std::runtime_error {
+  Failure(Ending how, const std::string& why) : std::runtime_error(why), ending(how) {}
+  Ending ending;
+};
+
 HostGroup::HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
                      core::Inbox& inbox, BufferPool& pool, park::Park& park, park::Crew& crew, Way way,
-                     double silence_ms)
+                     double silence_ms, std::function<void()> on_list)
     : clock_(clock),
       inbox_(inbox),
       pool_(pool),
@@ -31,7 +37,8 @@
       way_(way),
       silence_ms_(silence_ms),
       discovery_(discovery),
-      address_(discovery) {
+      address_(discovery),
+      on_list_(std::move(on_list)) {
   apply(remembered, ListKind::remembered);
   begins_ = park_.enter(*this, -1);
   if (way_ == Way::pushed) watch();
@@ -61,6 +68,9 @@
   discovery_ = discovery;
   address_ = address;
   any_seq_ = true;
+  if (lines_ && told_) as_of_ = heard_at_;
+  if (as_of_) as_of_ = std::min(*as_of_, clock_.now() - (core::kToldWithinMs - kMoveBindsMs));
+  tell_interruption();
   // One watch is followed: what is open is shut, and it goes on at the new address.
   moved_ = following_;
   if (!following_) return begin();
@@ -78,6 +88,7 @@
 void HostGroup::begin() {
   following_ = true;
   moved_ = false;
+  called_at_ = clock_.now();
   opening_ = crew_.take([this] { open(); }, true);
   if (!opening_) park_.wake_at(begins_, clock_.now() + kAgainMs);
 }
@@ -94,12 +105,12 @@
       query = "GET /registry/instances?follow=1&since=" + std::to_string(seq_) +
               " HTTP/1.1\r\nHost: " + discovery_ + "\r\n\r\n";
     }
-    if (!socket_.connect(address, kConnectMs)) throw std::runtime_error("could not connect");
+    if (!socket_.connect(address, kConnectMs)) throw Failure(Ending::unreachable, "could not connect");
     if (socket_.send({query}, clock_.now() + silence_ms_, clock_) != Io::done)
-      throw std::runtime_error("broke while it was opened");
+      throw Failure(Ending::unreachable, "broke while it was opened");
     const std::lock_guard lock(mutex_);
     // A socket that was shut before it began to connect connects all the same, to where discovery was.
-    if (moved_) throw std::runtime_error("discovery has moved");
+    if (moved_) throw Failure(Ending::unreachable, "discovery has moved");
     heard_at_ = clock_.now();
     intake_.emplace(socket_, clock_, pool_);
     watch_ = park_.enter(*this, socket_.fd());
@@ -112,7 +123,8 @@
     const std::lock_guard lock(mutex_);
     opening_ = false;
     opened_.notify_all();
-    end(failed.what());
+    const auto* known = dynamic_cast<const Failure*>(&failed);
+    end(known ? known->ending : Ending::unreachable, failed.what());
   }
 }
 
@@ -123,8 +135,10 @@
   try {
     hear();
     park_.wake_at(watch_, intake_->starved() ? clock_.now() + kGoOnMs : heard_at_ + silence_ms_);
+  } catch (const Failure& failed) {
+    end(failed.ending, failed.what());
   } catch (const std::exception& failed) {
-    end(failed.what());
+    end(Ending::unreadable, failed.what());
   }
 }
 
@@ -138,7 +152,7 @@
   // opened at once, also where this one never spoke, as of a call that was waiting when all fell silent. The
   // module's gap between calls is for a discovery that answers, and says no. An agent that never spoke is
   // down.
-  end(lines_ ? "silent" : "no answer", told_ || way_ == Way::asked);
+  end(Ending::silent, lines_ ? "silent" : "no answer");
 }
 
 // Under the mutex, all that has come. A watch lasts until something breaks it: then it throws.
@@ -148,9 +162,10 @@
     Io why = Io::done;
     const auto length = intake_->head(Intake::kNoWait, why);
     if (!length && why == Io::late) return;
-    if (!length) throw std::runtime_error("ended before an answer");
+    if (!length) throw Failure(Ending::unreachable, "ended before an answer");
     const Head head = read_answer_head(intake_->view().substr(0, *length));
-    if (head.status != 200) throw std::runtime_error("discovery answered " + std::to_string(head.status));
+    if (head.status != 200)
+      throw Failure(Ending::refused, "discovery answered " + std::to_string(head.status));
     const Framing framing = framing_of_answer(head);
     intake_->use(*length);
     lines_.emplace(*intake_, framing);
@@ -165,7 +180,7 @@
         return;
       case LineReader::Got::end:
       case LineReader::Got::broken:
-        throw std::runtime_error("the link ended");
+        throw Failure(told_ ? Ending::by_discovery : Ending::unreachable, "the link ended");
     }
     if (older_since_ && clock_.now() - *older_since_ >= kOlderMs) {
       seq_ = 0;  // asks for the whole list
@@ -179,7 +194,10 @@
     const core::HostList list = core::read_host_list(object);
     if (!std::exchange(told_, true)) core::log_line("watch: open at seq " + std::to_string(list.seq));
     again_ms_ = 0;
+    fell_silent_ = false;
+    as_of_ = clock_.now();
     take(list);
+    tell_first_list();
   }
 }
 
@@ -228,6 +246,10 @@
 std::string HostGroup::list() const {
   const std::lock_guard lock(mutex_);
   core::HostList list{seq_, true, {}};
+  if (lines_ && told_)
+    list.as_of_ms = heard_at_;
+  else
+    list.as_of_ms = as_of_;
   for (const auto& [worker, known] : hosts_) list.hosts.push_back({known.entry, known.dial});
   return core::text_of(list);
 }
@@ -239,14 +261,46 @@
   if (object.is_discarded()) return;
   const core::HostList list = core::read_host_list(object);
   const std::lock_guard lock(mutex_);
-  if (stopping_ || list.seq <= seq_) return;
+  const bool confirms = list.seq == seq_ && !as_of_ && list.as_of_ms;
+  if (stopping_ || (list.seq <= seq_ && !confirms)) return;
   core::log_line("host group: the other process has seq " + std::to_string(list.seq) + ", this one had " +
                  std::to_string(seq_));
+  if (list.as_of_ms) as_of_ = std::max(as_of_.value_or(*list.as_of_ms), *list.as_of_ms);
   apply(list, ListKind::remembered);
+  if (as_of_) tell_first_list();
+}
+
+// Under the mutex. Discovery's changes bind some time after they could be heard. A watch that ends of itself,
+// and a call that is not taken, show that discovery went down or is: it can tell others nothing either. One
+// that falls silent shows nothing, and a call that is refused after that may be one of too many.
+void HostGroup::note_reachability(Ending ending) {
+  if (lines_ && told_) as_of_ = heard_at_;
+  if (ending == Ending::silent) fell_silent_ = true;
+  if (ending == Ending::by_discovery) as_of_ = clock_.now();
+  if (ending == Ending::unreachable || (ending == Ending::refused && !fell_silent_))
+    as_of_ = std::max(as_of_.value_or(called_at_), called_at_);
+}
+
+// Under the mutex.
+std::optional<woadtide::Micros> HostGroup::as_of() const {
+  if (!as_of_) return std::nullopt;
+  return core::to_micros(*as_of_);
+}
+
+// Under the mutex. Where lists are pushed the module asks for none, and has no use for this.
+void HostGroup::tell_interruption() {
+  if (way_ == Way::asked) inbox_.put(core::ListTold{{ListKind::interrupted, {}, as_of()}});
+}
+
+// Under the mutex.
+void HostGroup::tell_first_list() {
+  if (const auto call = std::exchange(on_list_, {})) call();
 }
 
 // Under the mutex. Closed before the module hears of the failure, so that it can ask again.
-void HostGroup::end(const std::string& why, bool again) {
+void HostGroup::end(Ending ending, const std::string& why) {
+  const bool again = ending == Ending::silent && (told_ || way_ == Way::asked);
+  if (!moved_) note_reachability(ending);
   park_.leave(std::exchange(watch_, park::Park::kNone));
   lines_.reset();
   intake_.reset();
@@ -258,19 +312,22 @@
   if (stopping_) return;
   if (moved_) return begin();
   if (again_ms_ == 0) core::log_line("watch: failed: " + why);
-  if (again) return begin();
+  if (again) {
+    tell_interruption();
+    return begin();
+  }
   if (way_ == Way::pushed) {
     following_ = true;
     again_ms_ = std::clamp(2 * again_ms_, kAgainMs, kMostAgainMs);
     return park_.wake_at(begins_, clock_.now() + again_ms_);
   }
-  inbox_.put(core::ListTold{{ListKind::failed, {}}});
+  inbox_.put(core::ListTold{{ListKind::failed, {}, as_of()}});
 }
 
 // Under the mutex, or before anybody else knows of this.
 void HostGroup::apply(const core::HostList& list, ListKind kind) {
   std::map<std::string, Known> told;
-  core::ListTold message{{kind, {}}};
+  core::ListTold message{{kind, {}, kind == ListKind::remembered ? as_of() : std::nullopt}};
   for (const core::Host& host : list.hosts) {
     told.insert_or_assign(host.entry.worker, Known{Address(host.dial), host.dial, host.entry});
     message.update.entries.push_back(host.entry);
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -29,7 +30,9 @@
   static constexpr double kLineMs = 2'000, kSilenceMs = 2 * kLineMs;
   static constexpr double kConnectMs = 1'000;
   // Told from a list that is older than ours for this long, discovery has begun anew: its list is the list.
-  static constexpr double kOlderMs = 6'000;
+  static constexpr double kOlderMs = core::kToldWithinMs;
+  // PROTOCOL: after a reload, what the new address has to tell counts as told so long after it.
+  static constexpr double kMoveBindsMs = 4'000;
   enum class Way { asked, pushed };
 
   struct Known {
@@ -38,10 +41,11 @@
     woadtide::ListEntry entry;
   };
 
-  // The remembered list goes to the Inbox at once.
+  // The remembered list goes to the Inbox at once. `on_list` is called once, with the first list that
+  // discovery or the other process has told; it must not block nor call back.
   HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
             core::Inbox& inbox, BufferPool& pool, park::Park& park, park::Crew& crew, Way way = Way::asked,
-            double silence_ms = kSilenceMs);
+            double silence_ms = kSilenceMs, std::function<void()> on_list = {});
   ~HostGroup() override;
   HostGroup(const HostGroup&) = delete;
   HostGroup& operator=(const HostGroup&) = delete;
@@ -64,7 +68,14 @@
   void late() override;
   void hear();
   bool takes_whole(std::string& line);
-  void end(const std::string& why, bool again = false);
+  // How a watch or a call ended, for what it says of discovery: whether it may have told others since.
+  enum class Ending { by_discovery, unreachable, refused, silent, unreadable };
+  struct Failure;
+  void end(Ending ending, const std::string& why);
+  void note_reachability(Ending ending);
+  std::optional<woadtide::Micros> as_of() const;
+  void tell_interruption();
+  void tell_first_list();
   void take(const core::HostList& list);
   void take_older(const core::HostList& list);
   void apply(const core::HostList& list, woadtide::ListKind kind);
@@ -95,6 +106,11 @@
   core::Nesting nesting_;            // of object_
   double heard_at_ = 0;              // when the last whole thing came: a trickle of bytes is no sign of life
   bool told_ = false;                // its first object has come
+  double called_at_ = 0;             // when the call began that is open
+  // When it was last certain that discovery could tell nothing newer: it was heard, or could not be reached.
+  std::optional<double> as_of_;
+  bool fell_silent_ = false;  // since discovery was last heard: a failed call may be one of too many
+  std::function<void()> on_list_;
 };
 
 }  // namespace woadtide::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -36,6 +36,9 @@
 // Threads beside those that executions may need: for the watch, and for callers at the second address.
 constexpr std::size_t kUrgent = net::Management::kMostCallers + 2;
 
+// An upgrade's next process gets 6 s to be ready, and so may restarted ones: less time to be heard of.
+constexpr double kMostAdmissionMs = 5'500;
+
 constexpr int kLoopMs = 900;     // a call is owed its answer in 1 s
 constexpr double kTellMs = 500;  // for the process that runs already to tell what it knows
 
@@ -100,8 +103,10 @@
       worker_pool_(budget_.worker_buffers),
       park_(clock),
       crew_({.most = budget_.server_links, .reserve = kUrgent}, std::move(start)),
+      admission_(*this, park_),
       hosts_(config.discovery, config.known, clock, inbox_, worker_pool_, park_, crew_,
-             config.settings.list_on_request ? net::HostGroup::Way::asked : net::HostGroup::Way::pushed),
+             config.settings.list_on_request ? net::HostGroup::Way::asked : net::HostGroup::Way::pushed,
+             net::HostGroup::kSilenceMs, [this] { admission_.on_list(); }),
       servers_(server_limits(config.settings, budget_), clock, inbox_, hosts_, worker_pool_, park_, crew_),
       kin_(inbox_, park_, [this](std::size_t processes) { share_out(processes); }),
       addition_(adder ? adder({config.settings, config.class_names, clock, inbox_, servers_, hosts_, park_})
@@ -123,8 +128,7 @@
   }
   if (addition_) addition_->open();
   clients_.start();
-  front_.ready = true;
-  kin_.set_ready(true);
+  admission_.start();
   // Before it can be asked: who hears `ready` there may look for it here.
   if (!config.tether.empty()) tether_.emplace(park_, config.tether, version_, std::move(passed_));
   if (management_listener_)
@@ -155,7 +159,33 @@
 
 Node::~Node() = default;
 
+void Node::Admission::start() {
+  place_ = park_.enter(*this, -1);
+  park_.wake_at(place_, node_.clock_.now() + kMostAdmissionMs);
+  if (list_told_) on_list();
+}
+
+void Node::Admission::stop() {
+  park_.leave(place_);
+  park_.quiesce();
+}
+
+void Node::Admission::on_list() {
+  list_told_ = true;
+  if (place_ != park::Park::kNone) park_.poke(place_, {.readable = true});
+}
+
+void Node::admit(const char* why) {
+  const std::lock_guard lock(state_mutex_);
+  if (std::exchange(admitted_, true)) return;
+  core::log_line(std::string("start: clients are taken in: ") + why);
+  if (!takes_clients()) return;
+  front_.ready = true;
+  kin_.set_ready(true);
+}
+
 Node::Leaving::~Leaving() {
+  node.admission_.stop();
   if (node.addition_) node.addition_->close();
   node.kin_.end();
 }
@@ -179,7 +209,7 @@
   if (!argument.empty()) return "error no such call\n";
   if (call == "readyz") {
     const std::lock_guard lock(state_mutex_);
-    return !ending_ && !evacuated_ ? "done ready\n" : "error not ready\n";
+    return takes_clients() ? "done ready\n" : "error not ready\n";
   }
   if (call == "version") return "done " + version_ + "\n";
   if (call == "figures") return ask_loop(core::OperatorCall::Kind::figures, {});
@@ -205,8 +235,8 @@
     core::log_line(evacuated ? "evacuate: clients are sent away" : "activate: clients are taken again");
     side_.read_until = evacuated ? clock_.now() + kReadOnMs : net::ClientSide::kAlways;
   }
-  front_.ready = !evacuated;
-  kin_.set_ready(!evacuated);
+  front_.ready = takes_clients();
+  kin_.set_ready(takes_clients());
   if (addition_) addition_->set_taking(!evacuated);
   if (evacuated)
     clients_.evacuate();
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -1,6 +1,7 @@
 // One whole dispatcher: the parts put together, from its config to its end.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -78,6 +79,8 @@
   std::string answer_call(std::string_view call, std::string_view argument);
   std::string ask_loop(core::OperatorCall::Kind kind, std::string_view worker);
   std::string set_evacuated(bool evacuated);
+  void admit(const char* why);
+  bool takes_clients() const { return admitted_ && !ending_ && !evacuated_; }
   void share_out(std::size_t processes);
 
   core::Clock& clock_;
@@ -93,6 +96,23 @@
   core::Inbox inbox_;
   park::Park park_;
   park::Crew crew_;
+  // Says when clients are taken in: once a list has been told, for the remembered one may name workers that
+  // drain, or after kMostAdmissionMs without one.
+  class Admission : park::Guest {
+   public:
+    Admission(Node& node, park::Park& park) : node_(node), park_(park) {}
+    void start();
+    void stop();
+    void on_list();  // may come before start()
+
+   private:
+    void ready(park::Signs) override { node_.admit("a list was told"); }
+    void late() override { node_.admit("no list was told in time"); }
+    Node& node_;
+    park::Park& park_;
+    std::atomic<bool> list_told_{false};
+    std::atomic<park::Park::Token> place_{park::Park::kNone};
+  } admission_;
   net::HostGroup hosts_;
   net::ServerLinks servers_;
   net::Succession kin_;
@@ -115,6 +135,7 @@
   net::ClientLinks clients_;
   std::mutex state_mutex_;
   bool ending_ = false, evacuated_ = false;
+  bool admitted_ = false;  // see Admission
   // Who calls back from threads of its own ends before all that it touches, also where the constructor
   // throws.
   struct Leaving {
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -16,6 +16,7 @@
   require(settings.start_capacity > 0 && settings.start_capacity <= 1, "start_capacity");
   require(settings.cold_time.count() >= 0, "cold_time");
   require(settings.must_ask_within.count() >= 0, "must_ask_within");
+  require(settings.list_binds_after.count() >= 0, "list_binds_after");
   for (const ClassSettings& kind : settings.classes) {
     require(kind.deadline.count() > 0, "class deadline");
     require(!kind.aim || kind.aim->count() >= 0, "class aim");
--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -79,6 +79,7 @@
   void serve() {
     for (int i = 0; i < 500 && installation->port() == 0; ++i) ::usleep(10'000);
     REQUIRE(installation->port() != 0);
+    await_ready(*node);
   }
   std::string ask(const std::string& text) {
     Peer peer = Peer::to(installation->port());
--- a/tests/lists_test.cpp
+++ b/tests/lists_test.cpp
@@ -145,17 +145,89 @@
   Group::say(first, line_of(42, true, {host_json("w", "127.0.0.1:1", "Ready")}));
   CHECK(group.next().kind == ListKind::full);
   Peer second = group.watch("42");
+  const ListUpdate silent = group.next();
+  CHECK(silent.kind == ListKind::interrupted);
+  CHECK(silent.as_of == core::to_micros(kNow));  // when the last line came
   Group::say(second, line_of(43, true, {host_json("w", "127.0.0.1:1", "Terminating")}));
   CHECK(group.next().kind == ListKind::full);
   CHECK(group.state("w") == WorkerState::draining);
+  const double heard_at = group.clock.now();
   Peer third = group.watch("43");  // an answer, and no list
   group.pass_until(group.agent.socket);
   Peer fourth = group.agent.accept();  // no answer
   fourth.message();
   Peer fifth = group.watch("43");
+  // Calls that are never answered show nothing of discovery: the list is as old as its last line.
+  for (int calls = 0; calls < 3; ++calls) {
+    const ListUpdate unanswered = group.next();
+    CHECK(unanswered.kind == ListKind::interrupted);
+    CHECK(unanswered.as_of == core::to_micros(heard_at));
+  }
   CHECK(group.inbox.take().empty());
 }
 
+// Guards the drain rule: a list is in force only for a time from when discovery could tell nothing newer.
+TEST_CASE("how a watch or a call ends says since when discovery may have told others more") {
+  Group group(HostGroup::Way::asked);
+  group.hosts.watch();
+  {
+    Peer refused = group.agent.accept();
+    refused.message();
+    group.clock.set(kNow + 2'000);
+    refused.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    const ListUpdate failed = group.next();
+    CHECK(failed.kind == ListKind::failed);
+    CHECK(failed.as_of == core::to_micros(kNow));  // when the call began that was not taken
+  }
+  group.hosts.watch();
+  {
+    Peer watch = group.watch("41");
+    Group::say(watch, line_of(42, true, {host_json("w", "127.0.0.1:1")}));
+    CHECK(group.next().kind == ListKind::full);
+    group.clock.set(kNow + 3'000);
+  }
+  const ListUpdate ended = group.next();
+  CHECK(ended.kind == ListKind::failed);
+  CHECK(ended.as_of == core::to_micros(kNow + 3'000));  // it went down then
+  group.hosts.watch();
+  Peer silent = group.watch("42");
+  Group::say(silent, line_of(43, true, {host_json("w", "127.0.0.1:1")}));
+  CHECK(group.next().kind == ListKind::full);
+  group.pass_until(group.agent.socket);
+  Peer again = group.agent.accept();
+  again.message();
+  CHECK(group.next().kind == ListKind::interrupted);
+  again.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  const ListUpdate one_of_many = group.next();
+  CHECK(one_of_many.kind == ListKind::failed);
+  // All may have fallen silent, and call at once: this one shows nothing.
+  CHECK(one_of_many.as_of == core::to_micros(kNow + 3'000));
+}
+
+// Guards the drain rule at a restart: what the platform remembers may have drained long ago.
+TEST_CASE("a node takes clients in with its first list, and sends nothing by the remembered one before") {
+  Port worker, discovery;
+  core::Clock clock;
+  clock.set(kNow);
+  Node node(core::read_config(config_json(Hosts{host_json("w", worker.dial())}, discovery.dial())), clock);
+  CHECK(call_node(node, "readyz\n").rfind("error", 0) == 0);
+  Peer client = Peer::to(node.port());
+  client.write("GET /health/ready HTTP/1.1\r\n\r\n");
+  CHECK(client.message().rfind("HTTP/1.1 503 ", 0) == 0);
+  client.write(query_text("a", "refund-payout"));
+  CHECK(client.message().rfind("HTTP/1.1 503 ", 0) == 0);
+  pollfd comes{worker.socket.fd(), POLLIN, 0};
+  CHECK(::poll(&comes, 1, 0) == 0);
+  const Peer watch = confirm_list(discovery, node);
+  client.write("GET /health/ready HTTP/1.1\r\n\r\n");
+  CHECK(client.message().rfind("HTTP/1.1 200 ", 0) == 0);
+  client.write(query_text("b", "refund-payout"));
+  Peer link = worker.accept();
+  link.message();
+  link.write(done("b", "ok"));
+  CHECK(client.message().ends_with("\r\n\r\nok"));
+}
+
 // Guards the time that is left for another watch: two lines were due, and the answer to it has to come too.
 TEST_CASE("a watch is silent once two lines were due, whatever trickles in meanwhile") {
   CHECK(HostGroup::kSilenceMs == 2 * HostGroup::kLineMs);
--- a/tests/park_test.cpp
+++ b/tests/park_test.cpp
@@ -323,6 +323,8 @@
   clock.set(kNow + 2'000);
   Peer watch = discovery.accept();  // asked for all the while
   CHECK(watch.message().find("GET /registry/instances") == 0);
+  watch.write(chunked({R"({"seq":41,"whole":false,"hosts":[]})"}));
+  await_ready(node);
   client.write(query_text("a2", "refund-payout"));
   Peer link = worker.accept();
   link.message();
