Let the test of bytes before lateness hold the event loop by a read only

It hung now and then beside a busy machine: `holds` blocked the event loop on the first event of any kind, which can be the writable edge that `enter` brings, while the test waited in quiesce() for that call to end. The fault was the test's own. The same edge could also call the guest's handler, and set its new time, before the test had set the old one.

A handler now acts after a read of bytes only, and the test waits until the writable edges of both descriptors have been told. The checks stay, and two are added: the order of the calls, which was recorded and never looked at, and that the new time comes in its turn. No other test of the file holds the event loop.

With tell_late() before tell_ready() in Park::run it fails: lates 1, order "lr".

--- a/tests/park_test.cpp
+++ b/tests/park_test.cpp
@@ -33,20 +33,22 @@
 struct Seen : Guest {
   void ready(Signs signs) override {
     char bytes[16];
-    if (signs.readable) reads += ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0 ? 1 : 0;
+    if (signs.writable) writables += 1;
     if (signs.closed) closed = true;
-    order += signs.readable ? "r" : "";
-    if (then) then();
+    if (!signs.readable || ::recv(fd, bytes, sizeof bytes, MSG_DONTWAIT) <= 0) return;
+    order += "r";
+    reads += 1;
+    if (after_read) after_read();
   }
   void late() override {
     order += "l";
     lates += 1;
   }
   int fd = -1;
-  std::atomic<int> reads{0}, lates{0};
+  std::atomic<int> reads{0}, writables{0}, lates{0};
   std::atomic<bool> closed{false};
-  std::string order;  // of calls, read once the park is quiet
-  std::function<void()> then;
+  std::string order;  // of reads and times, to be looked at once the park is quiet
+  std::function<void()> after_read;
 };
 
 void await(const std::function<bool()>& done) {
@@ -57,6 +59,13 @@
   }
 }
 
+// Waits until the event that each descriptor brings as it enters, that it is writable, has been told: what is
+// told afterwards comes of what the test does.
+void await_entered(Park& park, std::initializer_list<const Seen*> guests) {
+  for (const Seen* guest : guests) await([guest] { return guest->writables > 0; });
+  park.quiesce();
+}
+
 // How many threads of this process have that name.
 std::size_t threads_named(const std::string& name) {
   std::size_t count = 0;
@@ -143,16 +152,16 @@
   holds.fd = gate.here.get();
   Park park(clock);
   std::promise<void> entered, go;
+  const auto may_go = go.get_future().share();
   std::atomic<Park::Token> place{Park::kNone};
-  holds.then = [&, first = true]() mutable {
-    if (!std::exchange(first, false)) return;
+  holds.after_read = [&] {
     entered.set_value();
-    go.get_future().wait();
+    may_go.wait();
   };
-  guest.then = [&] { park.wake_at(place, kNow + 500); };
+  guest.after_read = [&] { park.wake_at(place, kNow + 20); };
   place = park.enter(guest, pair.here.get());
   const auto held = park.enter(holds, gate.here.get());
-  park.quiesce();
+  await_entered(park, {&guest, &holds});
   gate.write();  // while one call runs, both come to be
   entered.get_future().wait();
   park.wake_at(place, kNow + 10);
@@ -162,8 +171,12 @@
   await([&] { return guest.reads == 1; });
   park.quiesce();
   CHECK(guest.lates == 0);
+  CHECK(guest.order == "r");
+  clock.set(kNow + 20);
+  await([&] { return guest.lates == 1; });
   for (const Park::Token token : {place.load(), held}) park.leave(token);
   park.quiesce();
+  CHECK(guest.order == "rl");
 }
 
 TEST_CASE("the crew runs each job it takes once, within its bound, and urgent ones beyond it") {
