Read the endpoint list entry by entry, in a package of its own

A line of discovery is held to 64 KiB and an object to 256 KiB, so a list of more than some 525 workers is never read. 3,200 workers are 395 KB.

src/endpoints reads the body as it comes and decodes each entry at its closing brace (EndpointListReader), bounds it by the process's memory (endpoint_limits) and holds it by name (EndpointTable). The decoding of one entry moves from core/host_list to core/endpoint, and names the wrong field; an integer field written as a number that no integer holds is refused, where its conversion was undefined before.

--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -9,31 +9,6 @@
 
 using woadtide::WorkerState;
 
-namespace {
-
-WorkerState state_of(const std::string& word) {
-  if (word == "Ready") return WorkerState::ready;
-  if (word == "Terminating") return WorkerState::draining;
-  if (word == "Gone") return WorkerState::gone;
-  throw std::runtime_error("host list: unknown health '" + word + "'");
-}
-
-Host read_host(const nlohmann::json& object) {
-  Host host;
-  host.entry.worker = object.at("host").get<std::string>();
-  host.entry.state = state_of(object.at("health").get<std::string>());
-  host.entry.zone = object.value("site", "");
-  host.entry.kind = object.value("class", "");
-  host.entry.cell = object.value("block", std::int64_t{0});
-  host.entry.weight = object.value("share", 1.0);
-  const double born = object.value("born_ms", 0.0);
-  if (born > 0) host.entry.started = to_micros(born);
-  host.dial = object.at("dial").get<std::string>();
-  return host;
-}
-
-}  // namespace
-
 void Nesting::pass(std::string_view piece) {
   for (const char c : piece) {
     if (in_text_) {
@@ -76,8 +51,10 @@
     list.seq = object.at("seq").get<std::int64_t>();
     list.whole = object.at("whole").get<bool>();
     if (object.contains("as_of_ms")) list.as_of_ms = object["as_of_ms"].get<double>();
-    for (const nlohmann::json& host : object.at("hosts")) list.hosts.push_back(read_host(host));
+    for (const nlohmann::json& host : object.at("hosts")) list.hosts.push_back(decode_endpoint(host));
     return list;
+  } catch (const EndpointFieldError& wrong) {
+    throw std::runtime_error(std::string("host list: ") + wrong.what());
   } catch (const nlohmann::json::exception& wrong) {
     throw std::runtime_error(std::string("host list: ") + wrong.what());
   }
--- a/src/core/host_list.hpp
+++ b/src/core/host_list.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "woadtide/balance.hpp"
+#include "core/endpoint.hpp"
 
 namespace woadtide::core {
 
@@ -16,10 +16,7 @@
 // it arrived or not.
 inline constexpr double kToldWithinMs = 6'000;
 
-struct Host {
-  woadtide::ListEntry entry;
-  std::string dial;  // host:port, as this dispatcher reaches it
-};
+using Host = Endpoint;  // its earlier name, which the discovery client still uses
 
 struct HostList {
   std::int64_t seq = 0;
--- /dev/null
+++ b/tests/endpoint_table_test.cpp
@@ -0,0 +1,182 @@
+// The table of endpoints: what an update changes, and what it costs.
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <pcg_random.hpp>
+
+#include "allocation_counter.hpp"
+#include "endpoints_harness.hpp"
+
+namespace woadtide::endpoints {
+namespace {
+
+EndpointTable table_of(int count) {
+  EndpointTable table;
+  table.apply(update_of(1, true, count));
+  return table;
+}
+
+EndpointUpdate change_of(Endpoint endpoint, std::int64_t sequence = 2) {
+  return {sequence, false, {std::move(endpoint)}};
+}
+
+std::vector<std::string> names_of(const std::vector<const Endpoint*>& endpoints) {
+  std::vector<std::string> names;
+  for (const Endpoint* endpoint : endpoints) names.push_back(endpoint->name());
+  return names;
+}
+
+TEST_CASE("a first snapshot adds all, the same again changes nothing") {
+  EndpointTable table;
+  CHECK(table.empty());
+  const EndpointDelta first = table.apply(update_of(5, true, 100));
+  CHECK(first.added.size() == 100);
+  CHECK(first.changed.empty());
+  CHECK(first.removed.empty());
+  CHECK(table.size() == 100);
+  CHECK(table.sequence() == 5);
+  CHECK(table.apply(update_of(6, true, 100)).empty());
+  CHECK(table.sequence() == 6);
+  REQUIRE(table.find(endpoint_numbered(7).name()) != nullptr);
+  CHECK(*table.find(endpoint_numbered(7).name()) == endpoint_numbered(7));
+  CHECK(table.find("nobody") == nullptr);
+}
+
+TEST_CASE("a snapshot gives what really differs") {
+  EndpointTable table = table_of(100);
+  EndpointUpdate snapshot = update_of(2, true, 100, 2);  // 0 and 1 have gone, 100 and 101 have come
+  snapshot.endpoints[0].entry.state = WorkerState::draining;
+  const EndpointDelta delta = table.apply(std::move(snapshot));
+  CHECK(names_of(delta.added) ==
+        std::vector<std::string>{endpoint_numbered(100).name(), endpoint_numbered(101).name()});
+  REQUIRE(delta.changed.size() == 1);
+  CHECK(delta.changed[0].before == endpoint_numbered(2));
+  CHECK(delta.changed[0].now->entry.state == WorkerState::draining);
+  CHECK(delta.removed == EndpointSequence{endpoint_numbered(0), endpoint_numbered(1)});
+  CHECK(table.size() == 100);
+}
+
+TEST_CASE("a snapshot of a tenth removes the rest, and one without entries all") {
+  EndpointTable table = table_of(3'200);
+  const EndpointDelta delta = table.apply(update_of(2, true, 320));
+  CHECK(delta.removed.size() == 2'880);
+  CHECK(delta.added.empty());
+  CHECK(delta.changed.empty());
+  CHECK(table.size() == 320);
+  CHECK(table.apply(update_of(3, true, 0)).removed.size() == 320);
+  CHECK(table.empty());
+}
+
+TEST_CASE("an endpoint that a snapshot calls gone is not listed") {
+  EndpointTable table = table_of(2);
+  EndpointUpdate snapshot = update_of(2, true, 3);
+  for (Endpoint& endpoint : snapshot.endpoints) endpoint.entry.state = WorkerState::gone;
+  const EndpointDelta delta = table.apply(std::move(snapshot));
+  CHECK(delta.removed.size() == 2);
+  CHECK(delta.added.empty());
+  CHECK(table.empty());
+}
+
+TEST_CASE("each field that differs is a change, also the address") {
+  std::vector<Endpoint> others(7, endpoint_numbered(1));
+  others[0].dial = "10.9.9.9:8000";
+  others[1].entry.zone = "z";
+  others[2].entry.kind = "m9";
+  others[3].entry.cell = 99;
+  others[4].entry.state = WorkerState::draining;
+  others[5].entry.weight = 0.5;
+  others[6].entry.started = std::chrono::milliseconds(kBornMs);
+  for (const Endpoint& other : others) {
+    EndpointTable table = table_of(3);
+    const EndpointDelta delta = table.apply(change_of(other));
+    REQUIRE(delta.changed.size() == 1);
+    CHECK(delta.changed[0].before == endpoint_numbered(1));
+    CHECK(*delta.changed[0].now == other);
+    CHECK(*table.find(other.name()) == other);
+    CHECK(table.apply(change_of(other, 3)).empty());
+  }
+}
+
+TEST_CASE("a delta adds, and removes what has gone, where it is there") {
+  EndpointTable table = table_of(3);
+  CHECK(names_of(table.apply(change_of(endpoint_numbered(3))).added) ==
+        std::vector<std::string>{endpoint_numbered(3).name()});
+  Endpoint gone = endpoint_numbered(1);
+  gone.entry.state = WorkerState::gone;
+  const EndpointDelta delta = table.apply(change_of(gone));
+  CHECK(delta.removed == EndpointSequence{endpoint_numbered(1)});
+  CHECK(table.find(gone.name()) == nullptr);
+  CHECK(table.apply(change_of(gone)).empty());
+  CHECK(table.size() == 3);
+}
+
+TEST_CASE("an update that adds an endpoint and removes it again is a fault of the caller") {
+  EndpointTable table = table_of(3);
+  EndpointUpdate update = change_of(endpoint_numbered(9));
+  update.endpoints.push_back(endpoint_numbered(9));
+  update.endpoints.back().entry.state = WorkerState::gone;
+  CHECK_THROWS_AS(table.apply(std::move(update)), std::invalid_argument);
+}
+
+TEST_CASE("a change costs the same at any size, a snapshot one pass over both") {
+  std::size_t allocations_at_100 = 0;
+  for (const int count : {100, 1'000, 3'200, 10'000}) {
+    CAPTURE(count);
+    EndpointTable table = table_of(count);
+    Endpoint other = endpoint_numbered(50);
+    other.dial = "10.9.9.9:8000";
+    EndpointUpdate change = change_of(other);
+    std::uint64_t visited = table.entries_visited();
+    const std::size_t allocations = testing::heap_use().allocations;
+    const EndpointDelta delta = table.apply(std::move(change));
+    const std::size_t allocations_here = testing::heap_use().allocations - allocations;
+    CHECK(delta.changed.size() == 1);
+    CHECK(table.entries_visited() - visited == 1);
+    if (count == 100) allocations_at_100 = allocations_here;
+    CHECK(allocations_here == allocations_at_100);  // nothing is copied
+
+    visited = table.entries_visited();
+    table.apply(update_of(3, true, count));
+    CHECK(table.entries_visited() - visited == 2 * static_cast<std::uint64_t>(count));
+  }
+}
+
+TEST_CASE("any updates leave what a plain map would hold, and the deltas tell how it came there") {
+  CHECK(rc::check([] {
+    pcg32 random(*rc::gen::arbitrary<std::uint32_t>());
+    const int updates = *rc::gen::inRange(1, 12);
+    EndpointTable table;
+    std::map<std::string, Endpoint> expected;
+    std::map<std::string, Endpoint> by_deltas;
+    for (int sequence = 1; sequence <= updates; ++sequence) {
+      EndpointUpdate update{sequence, random(3) == 0, {}};
+      for (int number = 0; number < 8; ++number) {
+        if (random(2) == 0) continue;
+        update.endpoints.push_back(endpoint_numbered(number));
+        update.endpoints.back().entry.state = static_cast<WorkerState>(random(3));
+        update.endpoints.back().entry.cell = random(2);
+      }
+      if (update.whole) expected.clear();
+      for (const Endpoint& endpoint : update.endpoints) {
+        expected.erase(endpoint.name());
+        if (endpoint.entry.state != WorkerState::gone) expected.emplace(endpoint.name(), endpoint);
+      }
+      const EndpointDelta delta = table.apply(std::move(update));
+      for (const Endpoint& endpoint : delta.removed) RC_ASSERT(by_deltas.erase(endpoint.name()) == 1u);
+      for (const Endpoint* endpoint : delta.added)
+        RC_ASSERT(by_deltas.emplace(endpoint->name(), *endpoint).second);
+      for (const EndpointChange& change : delta.changed) {
+        RC_ASSERT(by_deltas.at(change.now->name()) == change.before);
+        RC_ASSERT(!(change.before == *change.now));
+        by_deltas[change.now->name()] = *change.now;
+      }
+      RC_ASSERT(by_deltas == expected);
+      auto at = expected.begin();
+      for (const Endpoint& endpoint : table) RC_ASSERT(endpoint == (at++)->second);
+      RC_ASSERT(at == expected.end());
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace woadtide::endpoints
