Read lists of any size that memory allows, and take a change of the list by what changed

The client feeds what comes to endpoints::EndpointListReader and holds the list in an EndpointTable: an update is taken whole or not at all, a change costs by its own entries. The bound is half of the memory kept free, told at the start and by check-config. In the module a gone worker is dropped by name, at once or with its last attempt; a whole list still costs a pass.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -105,15 +105,10 @@
 }  // namespace
 
 class Dispatcher::State {
-  static Settings usable(Settings settings) {
-    check(settings);
-    if (settings.must_ask_within.count() == 0) settings.must_ask_within = kInterval;  // not told
-    return settings;
-  }
-
  public:
   State(Settings settings, std::uint64_t seed)
-      : settings_(usable(std::move(settings))), random_(seed), subscription_(settings_) {
+      : settings_(std::move(settings)), random_(seed), subscription_(settings_) {
+    check(settings_);
     for (const ClassSettings& kind : settings_.classes) least_worth_ = std::min(least_worth_, kind.worth);
     class_work_.assign(settings_.classes.size(), Micros{0});
     // Where starts are not told an answer may be late by its own running: a limit keeps a share of the first.
@@ -132,14 +127,17 @@
     if (update.kind == ListKind::failed)
       return ask_in(subscription_.on_failure(now_, update.as_of, uniform(0, 1)));
     if (update.kind == ListKind::interrupted) return subscription_.on_interruption(now_, update.as_of);
-    if (update.kind == ListKind::remembered) subscription_.on_remembered_list(update.as_of);
-    if (update.kind != ListKind::remembered) subscription_.on_list(now_);
+    update.kind == ListKind::remembered ? subscription_.on_remembered_list(update.as_of)
+                                        : subscription_.on_list(now_);
     if (update.kind != ListKind::changes)
       for (auto& [name, worker] : workers_) worker.entry.state = WorkerState::gone;
     for (const ListEntry& entry : update.entries) list_worker(entry);
-    std::erase_if(workers_, [](const auto& item) {
-      return item.second.entry.state == WorkerState::gone && item.second.jobs == 0;
-    });
+    if (update.kind != ListKind::changes)
+      for (auto item = workers_.begin(); item != workers_.end();) drop_if_gone(item++);
+  }
+
+  void drop_if_gone(std::map<std::string, Worker>::iterator item) {
+    if (item->second.entry.state == WorkerState::gone && item->second.jobs == 0) workers_.erase(item);
   }
 
   void list_worker(const ListEntry& entry) {
@@ -152,6 +150,7 @@
     worker.usual_wait = &usual_wait_[{entry.zone, entry.kind}];
     if (restarted && entry.state == WorkerState::ready) start_cold(worker, *entry.started);
     take_back(worker);
+    drop_if_gone(item);
   }
 
   void on(const Exclude& call) { bans_.try_emplace(call.worker, Ban{now_, {}}).first->second.over.reset(); }
@@ -409,7 +408,8 @@
     const auto [found, attempt] = find_out(outcome.id, outcome.attempt);
     if (!attempt) return;
     Job& job = found->second;
-    Worker& worker = workers_.at(attempt->worker);
+    const auto item = workers_.find(attempt->worker);
+    Worker& worker = item->second;
     attempt->out = false;
     worker.jobs -= 1;
     worker.slots = worker.jobs == 0 ? 0 : worker.slots - job.request.slots;
@@ -425,6 +425,7 @@
     if (outcome.closed || outcome.status == Status::ok) job.finished = true;
     if (!job.finished) dispatch(job);
     drop_if_over(found);
+    drop_if_gone(item);
   }
 
   void leave(Worker& worker, const Job& job, const Attempt& attempt) const {
@@ -688,12 +689,11 @@
 
   Settings settings_;
   std::mt19937_64 random_;
-  Micros now_{0};
+  Micros now_{0}, ask_at_{0};
   std::vector<Action>* actions_ = nullptr;
   ListSubscription subscription_;
   bool started_ = false;
   int sharers_ = 1;  // processes that take our turns at cold workers
-  Micros ask_at_{0};
   std::map<std::string, Worker> workers_;
   std::map<std::string, Ban> bans_;  // by worker
   std::map<std::string, Job> jobs_;
--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -9,21 +9,6 @@
 
 using woadtide::WorkerState;
 
-void Nesting::pass(std::string_view piece) {
-  for (const char c : piece) {
-    if (in_text_) {
-      in_text_ = escaped_ || c != '"';
-      escaped_ = !escaped_ && c == '\\';
-    } else if (c == '"') {
-      in_text_ = true;
-    } else if (c == '{' || c == '[') {
-      depth_ += 1;
-    } else if (c == '}' || c == ']') {
-      depth_ -= 1;
-    }
-  }
-}
-
 std::string text_of(const HostList& list) {
   nlohmann::json hosts = nlohmann::json::array();
   for (const Host& host : list.hosts) {
--- a/src/core/host_list.hpp
+++ b/src/core/host_list.hpp
@@ -26,17 +26,6 @@
   std::optional<double> as_of_ms = {};
 };
 
-// Whether a JSON text that comes in pieces is whole: what was opened is closed. It judges nothing else.
-class Nesting {
- public:
-  void pass(std::string_view piece);
-  bool open() const { return depth_ > 0; }
-
- private:
-  int depth_ = 0;
-  bool in_text_ = false, escaped_ = false;
-};
-
 // Throws std::runtime_error, naming the field, where the list is not what discovery may write.
 HostList read_host_list(const nlohmann::json& object);
 // In the same form, on one line.
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -16,8 +16,13 @@
 constexpr double kAgainMs = 50;  // where no thread can be had to open a watch, and first after an agent's end
 constexpr double kMostAgainMs =
     1'000;  // it doubles up to this: an agent is on our own machine, and asking is free
-// PROTOCOL: a body holds at most 64 KiB; indenting each of its lines makes several times that of it.
-constexpr std::size_t kMostObject = 4 * kMostBody;
+// What an operator allows a dispatcher for control, which a list that cannot be used must not exceed for
+// long.
+constexpr double kControlBytesPerMs = 4.096;
+
+endpoints::EndpointUpdate update_of(const core::HostList& list) {
+  return {list.seq, true, {list.hosts.begin(), list.hosts.end()}};
+}
 }  // namespace
 
 // Thrown where a watch or a call for one ends.
@@ -28,7 +33,8 @@
 
 HostGroup::HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
                      core::Inbox& inbox, BufferPool& pool, park::Park& park, park::Crew& crew, Way way,
-                     double silence_ms, std::function<void()> on_list)
+                     double silence_ms, std::function<void()> on_list,
+                     const endpoints::EndpointLimits& limits)
     : clock_(clock),
       inbox_(inbox),
       pool_(pool),
@@ -38,8 +44,9 @@
       silence_ms_(silence_ms),
       discovery_(discovery),
       address_(discovery),
+      reader_(limits, *this),
       on_list_(std::move(on_list)) {
-  apply(remembered, ListKind::remembered);
+  apply(update_of(remembered), ListKind::remembered);
   begins_ = park_.enter(*this, -1);
   if (way_ == Way::pushed) watch();
 }
@@ -58,7 +65,10 @@
 
 void HostGroup::watch() {
   const std::lock_guard lock(mutex_);
-  if (!following_) begin();
+  if (following_) return;
+  if (clock_.now() >= not_before_) return begin();
+  following_ = true;
+  park_.wake_at(begins_, not_before_);
 }
 
 void HostGroup::move(const std::string& discovery) {
@@ -68,7 +78,8 @@
   discovery_ = discovery;
   address_ = address;
   any_seq_ = true;
-  if (lines_ && told_) as_of_ = heard_at_;
+  not_before_ = 0;
+  if (body_ && told_) as_of_ = heard_at_;
   if (as_of_) as_of_ = std::min(*as_of_, clock_.now() - (core::kToldWithinMs - kMoveBindsMs));
   tell_interruption();
   // One watch is followed: what is open is shut, and it goes on at the new address.
@@ -79,9 +90,9 @@
 
 std::optional<HostGroup::Known> HostGroup::find(const std::string& worker) const {
   const std::lock_guard lock(mutex_);
-  const auto found = hosts_.find(worker);
-  if (found == hosts_.end()) return std::nullopt;
-  return found->second;
+  const endpoints::Endpoint* found = table_.find(worker);
+  if (!found) return std::nullopt;
+  return Known{Address(found->dial), found->dial, found->entry};
 }
 
 // Under the mutex. Drains are heard by it: it goes before all other work of the crew.
@@ -89,6 +100,7 @@
   following_ = true;
   moved_ = false;
   called_at_ = clock_.now();
+  received_ = 0;
   opening_ = crew_.take([this] { open(); }, true);
   if (!opening_) park_.wake_at(begins_, clock_.now() + kAgainMs);
 }
@@ -146,19 +158,19 @@
 void HostGroup::late() {
   const std::lock_guard lock(mutex_);
   if (stopping_ || opening_ || !following_) return;
-  if (!intake_) return begin();
+  if (!intake_) return clock_.now() < not_before_ ? park_.wake_at(begins_, not_before_) : begin();
   if (intake_->starved()) return park_.poke(watch_, {.readable = true});
   // What it missed counts as told 6 s after discovery fell silent, and most of that has gone: another one is
   // opened at once, also where this one never spoke, as of a call that was waiting when all fell silent. The
   // module's gap between calls is for a discovery that answers, and says no. An agent that never spoke is
   // down.
-  end(Ending::silent, lines_ ? "silent" : "no answer");
+  end(Ending::silent, body_ ? "silent" : "no answer");
 }
 
 // Under the mutex, all that has come. A watch lasts until something breaks it: then it throws.
 void HostGroup::hear() {
   intake_->begin_turn();
-  if (!lines_) {
+  if (!body_) {
     Io why = Io::done;
     const auto length = intake_->head(Intake::kNoWait, why);
     if (!length && why == Io::late) return;
@@ -168,89 +180,97 @@
       throw Failure(Ending::refused, "discovery answered " + std::to_string(head.status));
     const Framing framing = framing_of_answer(head);
     intake_->use(*length);
-    lines_.emplace(*intake_, framing);
+    body_.emplace(framing);
     heard_at_ = clock_.now();
   }
-  std::string line;
   for (;;) {
-    switch (lines_->next(line, Intake::kNoWait)) {
-      case LineReader::Got::line:
+    received_ += intake_->view().size();
+    intake_->use(body_->feed(intake_->view(), [this](std::string_view piece) { reader_.feed(piece); }));
+    if (body_->over()) throw_ended();
+    switch (intake_->more(Intake::kNoWait)) {
+      case Io::done:
         break;
-      case LineReader::Got::late:
+      case Io::late:
         return;
-      case LineReader::Got::end:
-      case LineReader::Got::broken:
-        throw Failure(told_ ? Ending::by_discovery : Ending::unreachable, "the link ended");
+      case Io::ended:
+      case Io::broken:
+        throw_ended();
     }
-    if (older_since_ && clock_.now() - *older_since_ >= kOlderMs) {
-      seq_ = 0;  // asks for the whole list
-      any_seq_ = true;
-      older_since_.reset();
-      throw std::runtime_error("discovery has begun anew");
-    }
-    if (!takes_whole(line)) continue;
-    const nlohmann::json object = nlohmann::json::parse(line, nullptr, false);
-    if (object.is_discarded()) throw std::runtime_error("a line is not JSON");
-    const core::HostList list = core::read_host_list(object);
-    if (!std::exchange(told_, true)) core::log_line("watch: open at seq " + std::to_string(list.seq));
-    again_ms_ = 0;
-    fell_silent_ = false;
-    as_of_ = clock_.now();
-    take(list);
-    tell_first_list();
   }
 }
 
-// Under the mutex. True where an object is whole with this line, which then holds all of it.
-bool HostGroup::takes_whole(std::string& line) {
-  const bool blank = line.find_first_not_of(" \t") == std::string::npos;
-  if (blank && object_.empty()) heard_at_ = clock_.now();
-  if (blank) return false;
-  nesting_.pass(line);
-  object_ += line;
-  if (object_.size() > kMostObject) throw std::runtime_error("a list without end");
-  if (nesting_.open()) return false;
-  line = std::exchange(object_, {});
-  nesting_ = {};
+void HostGroup::throw_ended() {
+  if (told_) throw Failure(Ending::by_discovery, "the link ended");
+  reader_.finish();  // throws where a list was cut off
+  throw Failure(Ending::unreachable, "the link ended");
+}
+
+// Under the mutex, within hear().
+void HostGroup::on_keep_alive() {
+  check_begun_anew();
   heard_at_ = clock_.now();
-  return true;
+}
+
+// The same. An update that cannot be used is not taken at all.
+void HostGroup::on_update(endpoints::EndpointUpdate&& update) {
+  check_begun_anew();
+  for (const endpoints::Endpoint& endpoint : update.endpoints) Address{endpoint.dial};
+  heard_at_ = clock_.now();
+  if (!std::exchange(told_, true)) core::log_line("watch: open at seq " + std::to_string(update.sequence));
+  again_ms_ = 0;
+  fell_silent_ = false;
+  unusable_in_row_ = 0;
+  as_of_ = clock_.now();
+  take(std::move(update));
+  tell_first_list();
+}
+
+// The same.
+void HostGroup::on_error(const endpoints::EndpointListError& error) {
+  throw Failure(Ending::unreadable, error.text);
+}
+
+// Under the mutex.
+void HostGroup::check_begun_anew() {
+  if (!older_since_ || clock_.now() - *older_since_ < kOlderMs) return;
+  seq_ = 0;  // asks for the whole list
+  any_seq_ = true;
+  older_since_.reset();
+  throw Failure(Ending::by_discovery, "discovery has begun anew");
 }
 
 // Under the mutex.
-void HostGroup::take(const core::HostList& list) {
-  if (list.seq < seq_ && !any_seq_) return take_older(list);
+void HostGroup::take(endpoints::EndpointUpdate&& update) {
+  if (update.sequence < seq_ && !any_seq_) return take_older(update);
   any_seq_ = false;
   older_since_.reset();
-  apply(list, list.whole ? ListKind::full : ListKind::changes);
+  apply(std::move(update), update.whole ? ListKind::full : ListKind::changes);
 }
 
 // Under the mutex. A worker that has drained or gone since must not come back by it, nor one go that came
 // since. But a drain may be news all the same, from a discovery that counts anew, and counts as told: what
 // it takes away from a worker of the same start holds at once, and the rest once it has said so for long.
-void HostGroup::take_older(const core::HostList& list) {
+void HostGroup::take_older(const endpoints::EndpointUpdate& older) {
   if (!older_since_) {
     older_since_ = clock_.now();
     core::log_line("watch: the list goes back from seq " + std::to_string(seq_) + " to " +
-                   std::to_string(list.seq) + ": only its drains are taken for now");
+                   std::to_string(older.sequence) + ": only its drains are taken for now");
   }
-  core::HostList drains{seq_, false, {}};
-  for (const core::Host& host : list.hosts) {
-    const auto known = hosts_.find(host.entry.worker);
-    if (known != hosts_.end() && host.entry.state != WorkerState::ready &&
-        known->second.entry.state == WorkerState::ready && host.entry.started == known->second.entry.started)
-      drains.hosts.push_back(host);
+  endpoints::EndpointUpdate drains{seq_, false, {}};
+  for (const endpoints::Endpoint& endpoint : older.endpoints) {
+    const endpoints::Endpoint* known = table_.find(endpoint.name());
+    if (known && endpoint.entry.state != WorkerState::ready && known->entry.state == WorkerState::ready &&
+        endpoint.entry.started == known->entry.started)
+      drains.endpoints.push_back(endpoint);
   }
-  if (!drains.hosts.empty()) apply(drains, ListKind::changes);
+  if (!drains.endpoints.empty()) apply(std::move(drains), ListKind::changes);
 }
 
 std::string HostGroup::list() const {
   const std::lock_guard lock(mutex_);
   core::HostList list{seq_, true, {}};
-  if (lines_ && told_)
-    list.as_of_ms = heard_at_;
-  else
-    list.as_of_ms = as_of_;
-  for (const auto& [worker, known] : hosts_) list.hosts.push_back({known.entry, known.dial});
+  list.as_of_ms = body_ && told_ ? heard_at_ : as_of_;
+  for (const endpoints::Endpoint& endpoint : table_) list.hosts.push_back(endpoint);
   return core::text_of(list);
 }
 
@@ -266,7 +286,7 @@
   core::log_line("host group: the other process has seq " + std::to_string(list.seq) + ", this one had " +
                  std::to_string(seq_));
   if (list.as_of_ms) as_of_ = std::max(as_of_.value_or(*list.as_of_ms), *list.as_of_ms);
-  apply(list, ListKind::remembered);
+  apply(update_of(list), ListKind::remembered);
   if (as_of_) tell_first_list();
 }
 
@@ -274,13 +294,30 @@
 // and a call that is not taken, show that discovery went down or is: it can tell others nothing either. One
 // that falls silent shows nothing, and a call that is refused after that may be one of too many.
 void HostGroup::note_reachability(Ending ending) {
-  if (lines_ && told_) as_of_ = heard_at_;
+  if (body_ && told_) as_of_ = heard_at_;
   if (ending == Ending::silent) fell_silent_ = true;
   if (ending == Ending::by_discovery) as_of_ = clock_.now();
+  if (ending == Ending::unreadable) {
+    wait_for_bytes();
+    as_of_ = std::max({as_of_.value_or(0), called_at_, not_before_});
+  }
   if (ending == Ending::unreachable || (ending == Ending::refused && !fell_silent_))
     as_of_ = std::max(as_of_.value_or(called_at_), called_at_);
 }
 
+// Under the mutex. The first list that cannot be used may be a fault of the way; further ones are read only
+// as often as the bytes for control allow, and the list that is held stays in force meanwhile: what discovery
+// has cannot be told to anybody.
+void HostGroup::wait_for_bytes() {
+  unusable_lists_ += 1;
+  unusable_in_row_ += 1;
+  const double wait = unusable_in_row_ > 1 ? static_cast<double>(received_) / kControlBytesPerMs : 0;
+  not_before_ = clock_.now() + wait;
+  core::log_line("watch: list " + std::to_string(unusable_lists_) + " that cannot be used, of " +
+                 std::to_string(received_) + " bytes; the next call waits " +
+                 std::to_string(static_cast<int>(wait / 1'000)) + " s");
+}
+
 // Under the mutex.
 std::optional<woadtide::Micros> HostGroup::as_of() const {
   if (!as_of_) return std::nullopt;
@@ -302,11 +339,10 @@
   const bool again = ending == Ending::silent && (told_ || way_ == Way::asked);
   if (!moved_) note_reachability(ending);
   park_.leave(std::exchange(watch_, park::Park::kNone));
-  lines_.reset();
+  body_.reset();
+  reader_.reset();
   intake_.reset();
   told_ = false;
-  object_.clear();
-  nesting_ = {};
   socket_ = Socket{};
   following_ = false;
   if (stopping_) return;
@@ -319,37 +355,34 @@
   if (way_ == Way::pushed) {
     following_ = true;
     again_ms_ = std::clamp(2 * again_ms_, kAgainMs, kMostAgainMs);
-    return park_.wake_at(begins_, clock_.now() + again_ms_);
+    return park_.wake_at(begins_, std::max(clock_.now() + again_ms_, not_before_));
   }
   inbox_.put(core::ListTold{{ListKind::failed, {}, as_of()}});
 }
 
 // Under the mutex, or before anybody else knows of this.
-void HostGroup::apply(const core::HostList& list, ListKind kind) {
-  std::map<std::string, Known> told;
+void HostGroup::apply(endpoints::EndpointUpdate&& update, ListKind kind) {
   core::ListTold message{{kind, {}, kind == ListKind::remembered ? as_of() : std::nullopt}};
-  for (const core::Host& host : list.hosts) {
-    told.insert_or_assign(host.entry.worker, Known{Address(host.dial), host.dial, host.entry});
-    message.update.entries.push_back(host.entry);
-  }
-  seq_ = list.seq;
-  std::map<std::string, Known> before = hosts_;
-  if (kind != ListKind::changes) hosts_.clear();
-  for (auto& [worker, known] : told) {
-    const auto was = before.find(worker);
-    const bool news = was == before.end() || was->second.entry.state != known.entry.state;
-    if (news && kind != ListKind::remembered) {
-      const char* word = known.entry.state == WorkerState::ready      ? " is ready at "
-                         : known.entry.state == WorkerState::draining ? " drains at "
-                                                                      : " is gone from ";
-      core::log_line("host group: " + worker + word + known.dial);
-    }
-    if (known.entry.state == WorkerState::gone)
-      hosts_.erase(worker);
-    else
-      hosts_.insert_or_assign(worker, std::move(known));
-  }
+  for (const endpoints::Endpoint& endpoint : update.endpoints)
+    message.update.entries.push_back(endpoint.entry);
+  seq_ = update.sequence;
+  const endpoints::EndpointDelta delta = table_.apply(std::move(update));
+  if (kind != ListKind::remembered) log_changes(delta);
   inbox_.put(std::move(message));
 }
 
+void HostGroup::log_changes(const endpoints::EndpointDelta& delta) {
+  const auto log = [](const endpoints::Endpoint& endpoint, const char* word) {
+    core::log_line("host group: " + endpoint.name() + word + endpoint.dial);
+  };
+  const auto log_state = [&](const endpoints::Endpoint& endpoint) {
+    log(endpoint, endpoint.entry.state == WorkerState::ready ? " is ready at " : " drains at ");
+  };
+  for (const endpoints::Endpoint* added : delta.added) log_state(*added);
+  for (const endpoints::EndpointChange& change : delta.changed)
+    if (change.before.entry.state != change.now->entry.state || change.before.dial != change.now->dial)
+      log_state(*change.now);
+  for (const endpoints::Endpoint& removed : delta.removed) log(removed, " is gone from ");
+}
+
 }  // namespace woadtide::net
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -15,6 +15,7 @@
 
 #include "core/host_list.hpp"
 #include "core/inbox.hpp"
+#include "endpoints/endpoints.hpp"
 #include "net/buffer_pool.hpp"
 #include "net/http.hpp"
 #include "net/socket.hpp"
@@ -22,7 +23,7 @@
 
 namespace woadtide::net {
 
-class HostGroup : public core::HostSource, private park::Guest {
+class HostGroup : public core::HostSource, private park::Guest, private endpoints::EndpointListListener {
  public:
   // PROTOCOL: discovery writes at least an empty line every 2 s. A watch on which two were due and neither
   // has come is silent. What it misses counts as told 6 s after it fell silent: what is left of that is for
@@ -33,6 +34,8 @@
   static constexpr double kOlderMs = core::kToldWithinMs;
   // PROTOCOL: after a reload, what the new address has to tell counts as told so long after it.
   static constexpr double kMoveBindsMs = 4'000;
+  // Where no memory limit is told: DEPLOY's largest.
+  static constexpr std::size_t kUsualMemoryBytes = 192'000'000;
   enum class Way { asked, pushed };
 
   struct Known {
@@ -45,7 +48,8 @@
   // discovery or the other process has told; it must not block nor call back.
   HostGroup(const std::string& discovery, const core::HostList& remembered, core::Clock& clock,
             core::Inbox& inbox, BufferPool& pool, park::Park& park, park::Crew& crew, Way way = Way::asked,
-            double silence_ms = kSilenceMs, std::function<void()> on_list = {});
+            double silence_ms = kSilenceMs, std::function<void()> on_list = {},
+            const endpoints::EndpointLimits& limits = endpoints::endpoint_limits(kUsualMemoryBytes));
   ~HostGroup() override;
   HostGroup(const HostGroup&) = delete;
   HostGroup& operator=(const HostGroup&) = delete;
@@ -67,7 +71,13 @@
   void ready(park::Signs signs) override;
   void late() override;
   void hear();
-  bool takes_whole(std::string& line);
+  void on_keep_alive() override;
+  void on_update(endpoints::EndpointUpdate&& update) override;
+  void on_error(const endpoints::EndpointListError& error) override;
+  [[noreturn]] void throw_ended();
+  void check_begun_anew();
+  void wait_for_bytes();
+  static void log_changes(const endpoints::EndpointDelta& delta);
   // How a watch or a call ended, for what it says of discovery: whether it may have told others since.
   enum class Ending { by_discovery, unreachable, refused, silent, unreadable };
   struct Failure;
@@ -76,9 +86,9 @@
   std::optional<woadtide::Micros> as_of() const;
   void tell_interruption();
   void tell_first_list();
-  void take(const core::HostList& list);
-  void take_older(const core::HostList& list);
-  void apply(const core::HostList& list, woadtide::ListKind kind);
+  void take(endpoints::EndpointUpdate&& update);
+  void take_older(const endpoints::EndpointUpdate& older);
+  void apply(endpoints::EndpointUpdate&& update, woadtide::ListKind kind);
 
   core::Clock& clock_;
   core::Inbox& inbox_;
@@ -97,18 +107,21 @@
   bool any_seq_ = false;               // of another address, or discovery begun anew: whatever it says holds
   std::optional<double> older_since_;  // only lists of older sequences have come since
   double again_ms_ = 0;                // pushed: the gap before the watch is opened again
-  std::map<std::string, Known> hosts_;
+  endpoints::EndpointTable table_;
+  endpoints::EndpointListReader reader_;
   park::Park::Token begins_ = park::Park::kNone, watch_ = park::Park::kNone;
   Socket socket_;  // of the thread that opens it, then of the park's; shut by others under the mutex
   std::optional<Intake> intake_;
-  std::optional<LineReader> lines_;  // once the answer's head has come
-  std::string object_;               // the lines of one that is not whole yet: lists may come indented
-  core::Nesting nesting_;            // of object_
+  std::optional<BodyDecoder> body_;  // once the answer's head has come
+  std::size_t received_ = 0;         // bytes of the body of this call
   double heard_at_ = 0;              // when the last whole thing came: a trickle of bytes is no sign of life
   bool told_ = false;                // its first object has come
   double called_at_ = 0;             // when the call began that is open
   // When it was last certain that discovery could tell nothing newer: it was heard, or could not be reached.
   std::optional<double> as_of_;
+  double not_before_ = 0;     // no call begins sooner: lists came that could not be used
+  int unusable_in_row_ = 0;   // such lists since one was taken
+  int unusable_lists_ = 0;    // in all
   bool fell_silent_ = false;  // since discovery was last heard: a failed call may be one of too many
   std::function<void()> on_list_;
 };
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -65,6 +65,9 @@
   const std::size_t for_links = std::max(descriptors, 2 * kOtherDescriptors) - kOtherDescriptors;
   const std::size_t bytes = memory_mb * 1'000'000 / 100 * 85 / processes;
   const std::size_t for_all = bytes - std::min(bytes, kProgramBytes);
+  // Of what is kept free beside that, the endpoint list may take half at its peak.
+  const std::size_t kept_free = memory_mb * 1'000'000 / processes - bytes;
+  list = endpoints::endpoint_limits(kept_free / 2 * endpoints::kMemoryShare);
   // Most queries take one buffer: with one and a half for each client link the links come first.
   const std::size_t affordable = for_all / (kLinkBytes + net::kBufferBytes);
   const std::size_t links = std::max<std::size_t>(std::min(for_links, affordable), 8);
@@ -104,9 +107,10 @@
       park_(clock),
       crew_({.most = budget_.server_links, .reserve = kUrgent}, std::move(start)),
       admission_(*this, park_),
-      hosts_(config.discovery, config.known, clock, inbox_, worker_pool_, park_, crew_,
-             config.settings.list_on_request ? net::HostGroup::Way::asked : net::HostGroup::Way::pushed,
-             net::HostGroup::kSilenceMs, [this] { admission_.on_list(); }),
+      hosts_(
+          config.discovery, config.known, clock, inbox_, worker_pool_, park_, crew_,
+          config.settings.list_on_request ? net::HostGroup::Way::asked : net::HostGroup::Way::pushed,
+          net::HostGroup::kSilenceMs, [this] { admission_.on_list(); }, budget_.list),
       servers_(server_limits(config.settings, budget_), clock, inbox_, hosts_, worker_pool_, park_, crew_),
       kin_(inbox_, park_, [this](std::size_t processes) { share_out(processes); }),
       addition_(adder ? adder({config.settings, config.class_names, clock, inbox_, servers_, hosts_, park_})
@@ -138,6 +142,8 @@
   core::log_line("start: " + config.name + " serves at " + config.listen + ", client links " +
                  std::to_string(budget_.client_links) + ", server links " +
                  std::to_string(budget_.server_links));
+  core::log_line("start: endpoint list of up to " + std::to_string(budget_.list.max_endpoints) +
+                 " workers and " + std::to_string(budget_.list.max_update_bytes / 1'000) + " KB");
 }
 
 Node::Decider::Decider(core::DecisionLoop& to_run, core::Inbox& from, park::Park& in, const core::Clock& on)
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -30,6 +30,7 @@
   // Clients' queries hold theirs until they are over, workers' answers only while a part of one has come:
   // apart, so that what clients send cannot keep an answer from being read.
   std::size_t client_buffers, worker_buffers;
+  endpoints::EndpointLimits list;
 };
 
 // Throws std::invalid_argument where an address in it cannot be one.
--- a/src/program.cpp
+++ b/src/program.cpp
@@ -188,8 +188,11 @@
   files.add(arguments.options);
   if (!arguments.read(given, "check-config [options]", "Says whether the files are good to serve under.", 0))
     return 0;
-  load(files);
+  const core::Config config = load(files);
+  const endpoints::EndpointLimits list = Budget(config.sockets, config.memory_mb).list;
   std::cout << files.config << ": good\n";
+  std::cout << files.config << ": memory for an endpoint list of up to " << list.max_endpoints << " workers, "
+            << list.max_update_bytes / 1'000 << " KB of text\n";
   if (!files.operators.empty()) std::cout << files.operators << ": good\n";
   return 0;
 }
--- a/src/subscription/list_subscription.cpp
+++ b/src/subscription/list_subscription.cpp
@@ -8,6 +8,7 @@
 namespace woadtide {
 namespace {
 
+constexpr Micros kDefaultAskWithin = std::chrono::seconds(3);  // where the settings do not tell it
 // Of must_ask_within, for one call of one dispatcher: what discovery has to bear by the settings, with room.
 constexpr double kShareOfOneCall = 0.008;
 constexpr double kMostShare = 0.8;       // of must_ask_within, for the calls of all
@@ -30,7 +31,7 @@
 }  // namespace
 
 ListSubscription::ListSubscription(const Settings& settings)
-    : must_ask_within_(settings.must_ask_within),
+    : must_ask_within_(settings.must_ask_within.count() > 0 ? settings.must_ask_within : kDefaultAskWithin),
       binds_after_(settings.list_binds_after),
       longest_period_(binds_after_.count() > 0 ? scaled(binds_after_, kLongestPeriodShare) : Micros::max()) {
   const double calls = settings.dispatchers - kCallsWithoutRush;
--- a/src/subscription/list_subscription.hpp
+++ b/src/subscription/list_subscription.hpp
@@ -16,7 +16,7 @@
 
 class ListSubscription {
  public:
-  // `settings` as checked by check(); must_ask_within may not be 0.
+  // Of `settings` those of the list, and the number of dispatchers; as checked by check().
   explicit ListSubscription(const Settings& settings);
 
   // All draws are uniform in [0, 1). Returned spans are the time from `now` to the next call.
