--- a/tests/node_harness.hpp
+++ b/tests/node_harness.hpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -29,6 +30,15 @@
 
 inline constexpr double kNow = 1'700'000'000'000;  // where the tests' clocks stand
 
+// Returns once that is so; fails the test where it does not come to be for long.
+inline void await(const std::function<bool()>& done) {
+  const core::Clock real;
+  for (const double end = real.now() + 10'000; !done();) {
+    REQUIRE(real.now() < end);
+    std::this_thread::yield();
+  }
+}
+
 // One side of a link, reading and writing text.
 struct Peer {
   explicit Peer(net::Socket from) : socket(std::move(from)) {
@@ -169,9 +179,14 @@
 
 // A whole dispatcher whose list remembers `hosts`, which discovery has confirmed; its clock stands still.
 struct Served {
-  explicit Served(Hosts hosts)
-      : node(core::read_config(config_json(std::move(hosts), discovery.dial())), standing()),
-        watch(confirm_list(discovery, node)) {}
+  using Change = std::function<void(nlohmann::json& config)>;
+  explicit Served(Hosts hosts, const Change& change = {}, park::Crew::Start start = {})
+      : node(core::read_config(changed(config_json(std::move(hosts), discovery.dial()), change)), standing(),
+             {}, std::move(start)) {}
+  static nlohmann::json changed(nlohmann::json config, const Change& change) {
+    if (change) change(config);
+    return config;
+  }
   core::Clock& standing() {
     clock.set(kNow);
     return clock;
--- a/tests/park_test.cpp
+++ b/tests/park_test.cpp
@@ -51,14 +51,6 @@
   std::function<void()> after_read;
 };
 
-void await(const std::function<bool()>& done) {
-  const core::Clock real;
-  for (const double end = real.now() + 10'000; !done();) {
-    REQUIRE(real.now() < end);
-    std::this_thread::yield();
-  }
-}
-
 // Waits until the event that each descriptor brings as it enters, that it is writable, has been told: what is
 // told afterwards comes of what the test does.
 void await_entered(Park& park, std::initializer_list<const Seen*> guests) {
