--- a/src/lab/hollow/hollow_fleet.cpp
+++ b/src/lab/hollow/hollow_fleet.cpp
@@ -1,5 +1,6 @@
 #include "lab/hollow/hollow_fleet.hpp"
 
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -47,7 +48,7 @@
   host.entry.kind = "m2";
   host.entry.cell = static_cast<std::int64_t>(number % kCells);
   host.entry.state = state;
-  if (started_ms > 0) host.entry.started = core::to_micros(started_ms);
+  if (started_ms > 0) host.entry.started = core::to_micros(std::floor(started_ms));
   host.dial = "127.0.0.1:" + std::to_string(kFirstPort + static_cast<int>(number) % kPorts);
   return host;
 }
--- a/src/lab/hollow/hollow_fleet.hpp
+++ b/src/lab/hollow/hollow_fleet.hpp
@@ -37,7 +37,7 @@
   // Threads of the processor time of which the dispatchers' part is made.
   std::size_t runtimes() const { return runtimes_.size(); }
 
-  // Entry of a worker, as the list has it. `started_ms`: 0 where that is long ago.
+  // Entry of a worker, as the list has it. `started_ms`: whole ms count; 0: long ago.
   static core::Host worker(std::size_t number, woadtide::WorkerState state, double started_ms = 0);
 
  private:
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -16,6 +16,7 @@
 #include "lab/cluster/registry.hpp"
 #include "lab/crash.hpp"
 #include "lab/fleet_sim.hpp"
+#include "lab/hollow/hollow_command.hpp"
 #include "lab/worker.hpp"
 
 namespace {
@@ -160,6 +161,8 @@
            "  cluster  many processes with faults between them, by a scenario; judges their files\n"
            "  changes  many rolling changes, each with a flaw, faults and an abort drawn from its seed\n"
            "  fleet    a change of hundreds of dispatchers on a made-up clock\n"
+           "  hollow   many dispatchers without traffic and their service discovery; has a --help of its "
+           "own\n"
            "  worker   a stand-in worker\n"
            "  registry, clients   processes that cluster starts\n\n"
         << shown;
@@ -218,6 +221,7 @@
 
 int main(int argc, char** argv) {
   try {
+    if (argc > 1 && std::string(argv[1]) == "hollow") return lab::hollow::run_command(argc - 1, argv + 1);
     return run(argc, argv);
   } catch (const std::exception& wrong) {
     std::cerr << "woadtide-lab: " << wrong.what() << std::endl;
