--- a/src/lab/hollow/hollow_run.cpp
+++ b/src/lab/hollow/hollow_run.cpp
@@ -23,9 +23,9 @@
 
 namespace {
 
-constexpr double kWindowMs = 60'000;
-constexpr double kFirstListsMs = 12'000;  // for the first lists of all dispatchers
-constexpr double kToldWithinMs = 6'000;   // by which a change has to be told
+constexpr double kWindowMs = 60'000, kLeastWindowMs = 1'000;  // the last one may be shorter
+constexpr double kFirstListsMs = 12'000;                      // for the first lists of all dispatchers
+constexpr double kToldWithinMs = 6'000;                       // by which a change has to be told
 constexpr int kStepMs = 5;
 
 double cpu_ms(const timeval& time) {
@@ -104,6 +104,7 @@
     first_lists_s_ = (clock_.now() - began) / 1'000;
     first_lists_ = source().lateness().untold == 0;
     memory_kb_ = (resident_kb() - before_kb) / static_cast<double>(fleet_->size());
+    source().forget_lateness();  // of the first lists
     calls_at_start_ = source().counts().calls;
     cpu_before_ms_ = hollow_cpu_ms();
   }
@@ -134,7 +135,7 @@
       if (now >= samples_.back().at + kWindowMs) take_sample();
       ::poll(nullptr, 0, kStepMs);
     }
-    take_sample();
+    if (clock_.now() - samples_.back().at >= kLeastWindowMs) take_sample();
     changes_ = next;
   }
 
--- a/src/lab/hollow/lateness.hpp
+++ b/src/lab/hollow/lateness.hpp
@@ -23,6 +23,8 @@
   void end_client(std::size_t client);
   // A client has been sent everything up to `version`.
   void add_told(std::size_t client, std::int64_t version, double at);
+  // Counts anew: what was told before is in no summary from here on.
+  void forget_told() { lateness_.clear(); }
   LatenessSummary summary() const;
 
  private:
--- a/src/lab/hollow/list_source.cpp
+++ b/src/lab/hollow/list_source.cpp
@@ -211,6 +211,11 @@
   return lateness_.summary();
 }
 
+void ListSource::forget_lateness() {
+  const std::lock_guard lock(mutex_);
+  lateness_.forget_told();
+}
+
 std::size_t ListSource::second() const {
   return static_cast<std::size_t>(std::max(0.0, clock_.now() - started_) / 1'000);
 }
--- a/src/lab/hollow/list_source.hpp
+++ b/src/lab/hollow/list_source.hpp
@@ -85,6 +85,8 @@
   ListSourceCounts counts() const;
   ClientTraffic traffic(std::size_t client) const;
   LatenessSummary lateness() const;
+  // Lateness is counted anew: what was told before is left out from here on.
+  void forget_lateness();
   // Processor time that its thread has taken, as of up to 0.2 s ago.
   double cpu_ms() const { return cpu_ms_.load(); }
 
--- a/tests/discovery_return_test.cpp
+++ b/tests/discovery_return_test.cpp
@@ -108,6 +108,8 @@
     source.set(HollowFleet::worker(kWorkers - 1 - i, woadtide::WorkerState::ready, clock.now()));
   pause_until(clock.now() + kStartMs, [&] { return source.lateness().untold == 0; });
 
+  source.forget_lateness();
+
   const double outage = clock.now();
   source.fail_for(kOutageMs);
   const double returned = source.returned_at();
--- a/tests/hollow_test.cpp
+++ b/tests/hollow_test.cpp
@@ -179,6 +179,9 @@
   CHECK(summary.max_ms == 7);
   recorder.add_change(60);
   CHECK(recorder.summary().untold == 2);
+  recorder.forget_told();
+  CHECK(recorder.summary().told == 0);
+  CHECK(recorder.summary().untold == 2);
   recorder.end_client(1);
   CHECK(recorder.summary().untold == 1);
 }
