Say "sent" in a hollow run's findings where only the source's side is known

With 900 workers the list's line is longer than the client reads: the source had sent all of it in time, and no dispatcher could use it, which only the finding on the dispatchers' own lists showed. The other findings claimed more than the source can know.

--- a/src/lab/hollow/hollow_run.cpp
+++ b/src/lab/hollow/hollow_run.cpp
@@ -179,10 +179,10 @@
   }
 
   void check() {
-    findings_.push_back({"all dispatchers have a first list within 12 s", first_lists_});
-    findings_.push_back({"every change is told to every dispatcher", lateness_.untold == 0});
+    findings_.push_back({"all dispatchers are sent a first list within 12 s", first_lists_});
+    findings_.push_back({"every change is sent to every dispatcher", lateness_.untold == 0});
     findings_.push_back({"all dispatchers end with discovery's list", count_up_to_date() == fleet_->size()});
-    findings_.push_back({"no change is told later than 6 s", lateness_.max_ms <= kToldWithinMs});
+    findings_.push_back({"no change is sent later than 6 s", lateness_.max_ms <= kToldWithinMs});
   }
 
   // Bytes of lists are `speed` times as many as on a real day, on which nearly all lines are empty ones. The
--- a/src/lab/hollow/list_source.hpp
+++ b/src/lab/hollow/list_source.hpp
@@ -84,6 +84,8 @@
   std::size_t open_watches() const;
   ListSourceCounts counts() const;
   ClientTraffic traffic(std::size_t client) const;
+  // A change counts as told once the kernel has taken its whole line: whether the client could use it shows
+  // in the client's own list only.
   LatenessSummary lateness() const;
   // Lateness is counted anew: what was told before is left out from here on.
   void forget_lateness();
