Test further attempts, reserves, late lists and broken peers on real connections

Need: what a dispatcher owes in the worst order was tested for first attempts and for single parts only. Twelve tests play whole dispatchers over loopback, and force the order instead of waiting for it: a full listen queue holds a connect, threads are held before their work, the clock is set. Where an attempt must not come, the same test shows that it comes for a client that stays.

Each was seen to fail without its guard (taken out by hand, one after the other, then put back): - client gone (closes, half-closes, resets), then its attempt fails, its time to start passes, or the worker of the second attempt drains: DecisionLoop::take(ClientGone) `feed(RequestGone)` together with DecisionLoop::end() `outcome.closed` - ... while the further attempt waits for its connect, a thread, or a worker that drains: DecisionLoop::let_go() `executor_.withdraw`; for the thread also ServerLinks::connect() `link.cancelled` - idle clients and silent workers while discovery is down, 160 descriptors by RLIMIT_NOFILE: Budget `- kOtherDescriptors` - a drain told right after a reload: HostGroup::end() `if (moved_) return begin()` - a list that falls silent late and comes whole again: HostGroup::take() `ListKind::full`, and HostGroup::late() opening it again at once - nobody is served and the list stays fresh: the module's `ask_in` after a call that failed - resets right after a connect: ClientLink::take_bytes() `links_.drop` - pieces of one byte: ClientLink::take_bytes() `until_` pushed on by gap_ms - no answer from the worker: DecisionLoop's timer at the request's deadline

--- /dev/null
+++ b/tests/terms_test.cpp
@@ -0,0 +1,546 @@
+// What a whole dispatcher owes over real connections when things happen in the worst order: clients that
+// leave before a further attempt, descriptors that run short, lists that come late, peers that reset or say
+// nothing.
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <optional>
+
+#include "node_harness.hpp"
+
+namespace woadtide {
+namespace {
+
+// Real time. An attempt may begin up to 0.1 s after its client has gone; none begins in twice that.
+constexpr int kNothingMs = 200;
+// Real time. The kernel repeats a connect that was not answered after 1 s.
+constexpr int kConnectRepeatMs = 1'500;
+// As the dispatcher has it: a list is silent once two lines of discovery's, each due in 2 s, did not come.
+constexpr double kListSilenceMs = 4'000;
+
+bool comes(const net::Socket& socket, int within_ms) {
+  pollfd one{socket.fd(), POLLIN, 0};
+  return ::poll(&one, 1, within_ms) > 0;
+}
+
+std::string list_line(int seq, bool whole, Hosts hosts) {
+  return nlohmann::json{{"seq", seq}, {"whole", whole}, {"hosts", std::move(hosts)}}.dump();
+}
+
+// One more line on a list connection that is open.
+void say(Peer& list, const std::string& line) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", line.size() + 1);
+  list.write(size.data() + line + "\n\r\n");
+}
+
+std::string failed(const std::string& id) { return chunked({event(id, "failed")}) + "0\r\n\r\n"; }
+
+// A worker's answer after which it closes the connection: the next attempt there needs a connect.
+std::string done_and_close(const std::string& id, const std::string& result) {
+  std::string text = done(id, result);
+  return text.insert(text.find("Transfer-Encoding"), "Connection: close\r\n");
+}
+
+// A figure of the dispatcher's own. What the event loop had before the call has been done by then.
+void await_figure(Served& served, const std::string& name, std::size_t value) {
+  const std::string line = "app." + name + ":" + std::to_string(value) + "|";
+  await([&] { return served.call("telemetry\n").find(line) != std::string::npos; });
+}
+
+// Workers "w0", "w1" and so on, any of which may get an attempt.
+struct Workers {
+  explicit Workers(std::size_t count) : ports(count) {}
+  std::string dial(std::size_t which) const { return ports[which].dial(); }
+  nlohmann::json host(std::size_t which, const char* health = "Ready") const {
+    return host_json("w" + std::to_string(which), dial(which), health);
+  }
+  Hosts hosts() const {
+    Hosts all;
+    for (std::size_t i = 0; i < ports.size(); ++i) all.push_back(host(i));
+    return all;
+  }
+  // Who gets a connection next.
+  std::size_t next() {
+    std::vector<pollfd> listeners;
+    for (const Port& port : ports) listeners.push_back({port.socket.fd(), POLLIN, 0});
+    REQUIRE_MESSAGE(::poll(listeners.data(), listeners.size(), 10'000) > 0, "no worker got a connection");
+    const auto found =
+        std::find_if(listeners.begin(), listeners.end(), [](const pollfd& one) { return one.revents != 0; });
+    return static_cast<std::size_t>(found - listeners.begin());
+  }
+  // From here on connects to it wait: one connection that nobody accepts fills the kernel's queue.
+  void hold_connects(std::size_t which) {
+    REQUIRE(::listen(ports[which].socket.fd(), 0) == 0);
+    fillers.push_back(Peer::to(ports[which].socket.port()));
+  }
+  void take_connects(std::size_t which) {
+    REQUIRE(::listen(ports[which].socket.fd(), 16) == 0);
+    ports[which].accept();
+  }
+  // Whether a connect to it waits.
+  bool connect_waits(std::size_t which) const {
+    std::array<char, 32> wanted{};
+    std::snprintf(wanted.data(), wanted.size(), "0100007F:%04X 02 ",
+                  static_cast<unsigned>(ports[which].socket.port()));
+    std::ifstream table("/proc/self/net/tcp");
+    for (std::string line; std::getline(table, line);)
+      if (line.find(wanted.data()) != std::string::npos) return true;
+    return false;
+  }
+
+  std::vector<Port> ports;
+  std::vector<Peer> fillers;
+};
+
+// A request of its own connection that one of the workers serves. Returns which.
+std::size_t serve_one(Served& served, Workers& workers, const std::string& id) {
+  Peer client = served.client();
+  client.write(query_text(id, "receipt-check"));
+  const std::size_t which = workers.next();
+  Peer link = workers.ports[which].accept();
+  link.message();
+  link.write(done_and_close(id, "ok " + id));
+  CHECK(client.message().ends_with("ok " + id));
+  return which;
+}
+
+// Clients that have left ---------------------------------------------------------------------------------
+
+// The one that stays shows that the further attempt would have come.
+enum class Client { stays, closes, half_closes, resets };
+constexpr Client kClients[] = {Client::stays, Client::closes, Client::half_closes, Client::resets};
+
+void reset_connection(Peer& peer) {
+  const linger at_once{1, 0};
+  ::setsockopt(peer.socket.fd(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  peer.socket = net::Socket{};
+}
+
+// A request that may be repeated; its first attempt is at one of the workers, and has not ended.
+struct FirstAttempt {
+  static constexpr const char* kId = "a1";
+  explicit FirstAttempt(std::size_t count, const Served::Change& change = {}, park::Crew::Start start = {},
+                        int requests_before = 0)
+      : workers(count), served(workers.hosts(), change, std::move(start)) {
+    for (int i = 0; i < requests_before; ++i) serve_one(served, workers, "b" + std::to_string(i));
+    client = served.client();
+    client->write(query_text(kId, "receipt-check"));
+    first = workers.next();
+    link = workers.ports[first].accept();
+    link->message();
+  }
+  // Once it returns, the dispatcher has heard of it.
+  void leave(Client how) {
+    if (how == Client::stays) return;
+    if (how == Client::closes) client.reset();
+    if (how == Client::half_closes) client->socket.shut(SHUT_WR);
+    if (how == Client::resets) reset_connection(*client);
+    await_figure(served, "outstanding", 0);
+  }
+  // The further attempt comes there for a client that stays, and for no other.
+  void check_further_attempt(Client how, std::size_t where, int within_ms) {
+    if (how != Client::stays) {
+      CHECK_FALSE(comes(workers.ports[where].socket, within_ms));
+      return;
+    }
+    Peer again = workers.ports[where].accept();
+    CHECK(again.message().ends_with("\r\n\r\npay"));
+    again.write(done(kId, "further"));
+    CHECK(client->message().ends_with("\r\n\r\nfurther"));
+  }
+
+  Workers workers;
+  Served served;
+  std::optional<Peer> client, link;
+  std::size_t first = 0;
+};
+
+TEST_CASE("an attempt that fails after its client has left is not followed by another") {
+  for (const Client how : kClients) {
+    CAPTURE(static_cast<int>(how));
+    FirstAttempt attempt(2);
+    attempt.leave(how);
+    attempt.link->write(failed(FirstAttempt::kId));
+    attempt.check_further_attempt(how, 1 - attempt.first, kNothingMs);
+  }
+}
+
+TEST_CASE("a further attempt that waits for its connect does not begin once its client has left") {
+  for (const Client how : kClients) {
+    CAPTURE(static_cast<int>(how));
+    FirstAttempt attempt(2);
+    const std::size_t other = 1 - attempt.first;
+    attempt.workers.hold_connects(other);
+    attempt.link->write(failed(FirstAttempt::kId));
+    await([&] { return attempt.workers.connect_waits(other); });
+    attempt.leave(how);
+    attempt.workers.take_connects(other);
+    attempt.check_further_attempt(how, other, kConnectRepeatMs);
+  }
+}
+
+// Threads of the crew that are started while `holds` is set, and wait before their first work until released.
+struct HeldThreads {
+  park::Crew::Start start() {
+    return [this](const std::string& name, std::function<void()> body) {
+      if (!holds) return park::Thread(name, std::move(body));
+      held += 1;
+      return park::Thread(name, [released = released, body = std::move(body)] {
+        released.wait();
+        body();
+      });
+    };
+  }
+  std::atomic<bool> holds{false};
+  std::atomic<int> held{0};
+  std::promise<void> release;
+  std::shared_future<void> released = release.get_future().share();
+};
+
+// False where a thread that had just ended its work took the attempt: it was not held.
+bool check_attempt_held_by_thread(Client how) {
+  const auto threads = std::make_unique<HeldThreads>();
+  FirstAttempt attempt(2, {}, threads->start());
+  struct ReleaseAtEnd {  // also where a check has thrown
+    ~ReleaseAtEnd() {
+      if (!released) threads.release.set_value();
+    }
+    HeldThreads& threads;
+    bool released = false;
+  } end{*threads};
+  // Calls that come to no end take the threads that rest, until a new one is wanted.
+  threads->holds = true;
+  std::vector<Peer> callers;
+  while (threads->held == 0) {
+    REQUIRE(callers.size() < net::Management::kMostCallers / 2);
+    callers.push_back(Peer::to(attempt.served.node.management_port()));
+    callers.back().write("read");
+    comes(callers.back().socket, 50);  // nothing does: the time in which it gets a thread
+  }
+  const int callers_held = threads->held;
+  const std::size_t other = 1 - attempt.first;
+  attempt.link->write(failed(FirstAttempt::kId));
+  await([&] { return threads->held > callers_held || comes(attempt.workers.ports[other].socket, 0); });
+  threads->holds = false;
+  if (threads->held == callers_held) return false;
+  attempt.leave(how);
+  threads->release.set_value();
+  end.released = true;
+  attempt.check_further_attempt(how, other, kNothingMs);
+  return true;
+}
+
+TEST_CASE("a further attempt that waits for a thread does not begin once its client has left") {
+  for (const Client how : kClients) {
+    CAPTURE(static_cast<int>(how));
+    int tries = 0;
+    while (!check_attempt_held_by_thread(how)) REQUIRE(++tries < 10);
+  }
+}
+
+// The second attempt is at a worker that drains meanwhile, so that it would go on to a third one.
+TEST_CASE("a further attempt whose worker drains goes to no third one once its client has left") {
+  for (const Client how : kClients) {
+    CAPTURE(static_cast<int>(how));
+    FirstAttempt attempt(3);
+    Workers& workers = attempt.workers;
+    Peer list = attempt.served.discovery.accept();
+    list.message();
+    const std::size_t others[] = {(attempt.first + 1) % 3, (attempt.first + 2) % 3};
+    for (const std::size_t other : others) workers.hold_connects(other);
+    attempt.link->write(failed(FirstAttempt::kId));
+    await([&] { return workers.connect_waits(others[0]) || workers.connect_waits(others[1]); });
+    const std::size_t second = workers.connect_waits(others[0]) ? others[0] : others[1];
+    const std::size_t third = 3 - attempt.first - second;
+    const nlohmann::json one_more = host_json("more", "127.0.0.1:1", "Terminating");
+    list.write(chunked({list_line(42, false, {workers.host(second, "Terminating"), one_more})}));
+    await_figure(attempt.served, "discovered", 4);
+    attempt.leave(how);
+    for (const std::size_t other : others) workers.take_connects(other);
+    if (how == Client::stays) CHECK(workers.ports[second].accept().closed());
+    attempt.check_further_attempt(how, third, kConnectRepeatMs);
+    CHECK_FALSE(comes(workers.ports[second].socket, 0));
+  }
+}
+
+// An attempt that does not start in time is cancelled, and the request goes to another worker.
+TEST_CASE(
+    "when an attempt's time to start has passed, a request whose client has left goes to no other worker") {
+  const auto moves = [](nlohmann::json& config) {
+    config["settings"]["Domain"]["TellsStart"] = true;
+    config["settings"]["PolicyLimits"]["Cancel"] = true;
+  };
+  constexpr int kForOneMove = 6;  // requests: one in five may be moved
+  for (const Client how : kClients) {
+    CAPTURE(static_cast<int>(how));
+    FirstAttempt attempt(2, moves, {}, kForOneMove);
+    const std::size_t other = 1 - attempt.first;
+    attempt.leave(how);
+    for (const double passed : {110, 220, 330}) {
+      attempt.served.clock.set(kNow + passed);
+      if (comes(attempt.workers.ports[other].socket, kNothingMs)) break;
+    }
+    attempt.check_further_attempt(how, other, kNothingMs);
+  }
+}
+
+// Descriptors --------------------------------------------------------------------------------------------
+
+// From here on, until it ends, so many more descriptors can be had in this process.
+struct DescriptorLimit {
+  explicit DescriptorLimit(std::size_t count) {
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    rlimit limit = before;
+    for (limit.rlim_cur = 0; count > 0; ++limit.rlim_cur)
+      if (::fcntl(static_cast<int>(limit.rlim_cur), F_GETFD) < 0) count -= 1;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  }
+  ~DescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &before); }
+  rlimit before{};
+};
+
+// Guards against an outage that outlives its cause: with all connections in use that the limits allow, by
+// clients and by workers that do not answer, what brings the way out of it needs descriptors of its own.
+TEST_CASE("idle clients and silent workers leave the list, a new worker and management their descriptors") {
+  constexpr std::size_t kSockets = 160, kMemoryMb = 192, kWorkers = 12;
+  const Budget budget(kSockets, kMemoryMb);
+  const std::size_t busy_count = budget.server_links - 2, idle_count = budget.client_links - busy_count;
+  Port silent, fresh;
+  const net::Address anywhere("127.0.0.1:0");
+  const net::Socket discovery = net::Socket::make(anywhere);  // bound, and down until it listens
+  REQUIRE(::bind(discovery.fd(), reinterpret_cast<const sockaddr*>(&anywhere.storage), anywhere.length) == 0);
+  Hosts hosts;
+  for (std::size_t i = 0; i < kWorkers; ++i)
+    hosts.push_back(host_json("silent" + std::to_string(i), silent.dial()));
+  // The test's own descriptors are all there before those of the dispatcher are counted.
+  std::vector<Peer> busy, idle;
+  for (std::size_t i = 0; i < busy_count; ++i) busy.emplace_back(net::Socket::make(anywhere));
+  for (std::size_t i = 0; i < idle_count; ++i) idle.emplace_back(net::Socket::make(anywhere));
+  Peer last(net::Socket::make(anywhere));
+  std::vector<net::Fd> spare;  // for what the test accepts, and for its calls
+  for (int i = 0; i < 3; ++i) spare.emplace_back(::dup(0));
+  const DescriptorLimit limit(kSockets + 1);  // and for the listener that every Served has
+  Served served(std::move(hosts), [&](nlohmann::json& config) {
+    config["discovery"] = "127.0.0.1:" + std::to_string(discovery.port());
+    config["limits"] = {{"sockets", kSockets}, {"memory_mb", kMemoryMb}};
+    config["settings"]["Invariants"]["MustAskInUs"] = 1'000'000;
+    for (nlohmann::json& kind : config["settings"]["Categories"])
+      kind["DeadlineUs"] = kind["PromiseUs"] = 60'000'000;
+  });
+  const net::Address front("127.0.0.1:" + std::to_string(served.node.port()));
+  const auto request = [](const std::string& id) {
+    const std::string text = query_text(id, "receipt-check");
+    return std::string(text).replace(text.find("5000m"), 5, "60000m");
+  };
+  for (std::size_t i = 0; i < busy_count; ++i) {
+    REQUIRE(busy[i].socket.connect(front, 5'000));
+    busy[i].write(request("busy" + std::to_string(i)));
+  }
+  const std::string ask_live = "GET /health/live HTTP/1.1\r\n\r\n";
+  for (Peer& one : idle) {
+    REQUIRE(one.socket.connect(front, 5'000));
+    one.write(ask_live);
+    CHECK(one.message().starts_with("HTTP/1.1 200 "));
+  }
+  spare.pop_back();
+  await_figure(served, "forwards.receipt-check", busy_count);
+  // Discovery is asked again and again while it is down, and each time it takes a descriptor.
+  for (int i = 0; i < 20; ++i) {
+    served.clock.set(served.clock.now() + 100);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  REQUIRE(::listen(discovery.fd(), 16) == 0);
+  for (int tries = 0; !comes(discovery, 20); ++tries) {
+    REQUIRE(tries < 500);
+    served.clock.set(served.clock.now() + 100);
+  }
+  spare.pop_back();
+  Peer list(net::Socket(net::Fd(::accept(discovery.fd(), nullptr, nullptr))));
+  list.message();
+  list.write(chunked({list_line(42, true, {host_json("fresh", fresh.dial())})}));
+  await_figure(served, "discovered", 1);
+  CHECK(served.call("readyz\n").starts_with("done"));
+  REQUIRE(last.socket.connect(front, 5'000));
+  last.write(request("last"));
+  spare.pop_back();
+  Peer link = fresh.accept();
+  link.message();
+  link.write(done("last", "served"));
+  CHECK(last.message().ends_with("\r\n\r\nserved"));
+  // The idle clients stay, but for the one that gave way to the last.
+  for (std::size_t i = 1; i < idle_count; ++i) {
+    idle[i].write(ask_live);
+    CHECK(idle[i].message().starts_with("HTTP/1.1 200 "));
+  }
+}
+
+// Lists --------------------------------------------------------------------------------------------------
+
+// Guards a drain against a move of discovery: nothing may go to the worker, whatever the new one's count is.
+TEST_CASE("a drain told at discovery's new address, right after a reload, holds for the next request") {
+  Workers workers(2);
+  Served served(workers.hosts());
+  Peer old = served.discovery.accept();
+  old.message();
+  old.write(
+      chunked({list_line(50, true, {workers.host(0), workers.host(1), host_json("old", "127.0.0.1:1")})}));
+  await_figure(served, "discovered", 3);
+  Port moved;
+  served.node.reload(core::read_config(config_json(workers.hosts(), moved.dial())));
+  Peer list = moved.accept();
+  CHECK(list.message().find("since=50 ") != std::string::npos);
+  list.write(
+      chunked({list_line(3, true, workers.hosts()), list_line(4, false, {workers.host(0, "Terminating")}),
+               list_line(5, false,
+                         {host_json("new", "127.0.0.1:1", "Terminating"),
+                          host_json("newer", "127.0.0.1:1", "Terminating")})}));
+  await_figure(served, "discovered", 4);
+  for (int i = 0; i < 8; ++i) CHECK(serve_one(served, workers, "a" + std::to_string(i)) == 1);
+  CHECK(old.closed());
+}
+
+// Guards requests at work, and workers that are gone, where the list was not heard for a while.
+TEST_CASE("after a list that fell silent late, one that comes whole again is the list") {
+  Workers workers(2);
+  Served served(workers.hosts());
+  Peer first = served.discovery.accept();
+  first.message();
+  first.write(chunked({list_line(42, true, workers.hosts())}));
+  // A line each 3 s, late but no silence; then none. Each is one more host, so that it shows when it is
+  // heard.
+  for (std::size_t i = 1; i <= 3; ++i) {
+    served.clock.set(served.clock.now() + 3'000);
+    const std::string more = "more" + std::to_string(i);
+    say(first, list_line(42 + static_cast<int>(i), false, {host_json(more, "127.0.0.1:1", "Terminating")}));
+    await_figure(served, "discovered", 2 + i);
+  }
+  served.clock.set(served.clock.now() + kListSilenceMs);
+  Peer second = served.discovery.accept();  // at once: the clock stands
+  CHECK(second.message().find("since=45 ") != std::string::npos);
+  CHECK(first.closed());
+  Peer client = served.client();
+  client.write(query_text("a1", "refund-payout"));
+  const std::size_t gone = workers.next(), stays = 1 - gone;
+  Peer link = workers.ports[gone].accept();
+  link.message();
+  second.write(chunked({list_line(45, true, {workers.host(stays)})}));
+  await_figure(served, "discovered", 1);
+  link.write(done_and_close("a1", "ok"));
+  CHECK(client.message().ends_with("\r\n\r\nok"));
+  for (int i = 0; i < 8; ++i) CHECK(serve_one(served, workers, "b" + std::to_string(i)) == stays);
+}
+
+// Guards the first request after a quiet night: the list is as fresh as if there had been some all along.
+TEST_CASE("a process that serves nobody keeps its list fresh, whatever its discovery does") {
+  Workers workers(2);
+  Served served(workers.hosts());
+  std::optional<Peer> list = served.discovery.accept();
+  list->message();
+  list->write(chunked({list_line(42, true, workers.hosts())}));
+  // It falls silent, is refused, and ends: asked again each time, without a request.
+  for (const char* state : {"silent", "refused", "ended"}) {
+    CAPTURE(state);
+    if (std::string(state) == "refused") list->write("HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
+    if (std::string(state) == "ended") list.reset();
+    for (int tries = 0; !comes(served.discovery.socket, 20); ++tries) {
+      REQUIRE(tries < 1'000);
+      served.clock.set(served.clock.now() + 200);
+    }
+    list = served.discovery.accept();
+    list->message();
+  }
+  const nlohmann::json more = host_json("more", "127.0.0.1:1", "Terminating");
+  list->write(chunked({list_line(43, false, {workers.host(0, "Terminating"), more})}));
+  await_figure(served, "discovered", 3);
+  for (int i = 0; i < 8; ++i) CHECK(serve_one(served, workers, "a" + std::to_string(i)) == 1);
+}
+
+// Peers --------------------------------------------------------------------------------------------------
+
+std::size_t open_descriptors() {
+  const std::filesystem::directory_iterator all("/proc/self/fd");
+  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
+// Guards descriptors, and the clients that stay, against those that reset as they come.
+TEST_CASE("clients that reset right after they connect leave nothing behind, with half a request or none") {
+  Workers workers(1);
+  Served served(workers.hosts());
+  served.discovery.accept().message();
+  Peer kept = served.client();
+  const std::string ask_live = "GET /health/live HTTP/1.1\r\n\r\n";
+  kept.write(ask_live);
+  kept.message();
+  const std::size_t before = open_descriptors();
+  const std::string text = query_text("r1", "refund-payout");
+  for (std::size_t round = 0; round < 200; ++round) {
+    Peer client = served.client();
+    if (round % 3 > 0) client.write(text.substr(0, text.size() * (round % 3) / 3));
+    if (round % 2 > 0) std::this_thread::yield();
+    reset_connection(client);
+  }
+  await([&] { return open_descriptors() <= before; });
+  kept.write(ask_live);
+  CHECK(kept.message().starts_with("HTTP/1.1 200 "));
+  CHECK(serve_one(served, workers, "a1") == 0);
+}
+
+// Guards messages against any cut, and slow ones against the time that a silent connection has.
+TEST_CASE("a request and its answer pass whole in pieces of one byte, which take longer than silence may") {
+  Workers workers(1);
+  Served served(workers.hosts());
+  const std::string chunked_body =
+      "POST /api HTTP/1.1\r\nX-Call-Id: c\r\nX-Call-Class: receipt-check\r\nX-Budget: 5000m\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2\r\npa\r\n1\r\ny\r\n0\r\n\r\n";
+  std::optional<Peer> link;  // one for both
+  for (const auto& [id, text] :
+       {std::pair<std::string, std::string>{"a", query_text("a", "refund-payout")}, {"c", chunked_body}}) {
+    CAPTURE(id);
+    Peer client = served.client();
+    for (const char byte : text) {
+      client.write(std::string(1, byte));
+      served.clock.set(served.clock.now() + 20);
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    if (!link) link = workers.ports[0].accept();
+    CHECK(link->message().ends_with("\r\n\r\npay"));
+    for (const char byte : done(id, "ok")) link->write(std::string(1, byte));
+    CHECK(client.message().ends_with("\r\n\r\nok"));
+  }
+}
+
+// Guards the one final answer: due at the deadline, whether its worker says something later or never.
+TEST_CASE("a request that its worker leaves without an answer gets its one at its deadline") {
+  Workers workers(1);
+  for (const char* kind : {"receipt-check", "refund-payout"}) {
+    CAPTURE(kind);
+    Served served(workers.hosts());
+    Peer client = served.client();
+    client.write(query_text("a1", kind));
+    Peer link = workers.ports[0].accept();
+    link.message();
+    served.clock.set(kNow + 4'990);
+    CHECK_FALSE(comes(client.socket, kNothingMs));
+    served.clock.set(kNow + 5'000);
+    const std::string answer = client.message();
+    // A repeat of the one does no harm; of the other nobody knows.
+    CHECK(answer.starts_with(std::string(kind) == "refund-payout" ? "HTTP/1.1 504 " : "HTTP/1.1 503 "));
+    ::send(link.socket.fd(), "HTTP", 4, MSG_NOSIGNAL);  // too late, if it can be sent at all
+    CHECK_FALSE(comes(client.socket, kNothingMs));
+    client.write("GET /health/live HTTP/1.1\r\n\r\n");
+    CHECK(client.message().starts_with("HTTP/1.1 200 "));
+  }
+}
+
+}  // namespace
+}  // namespace woadtide
