--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -17,6 +17,7 @@
 #include "lab/crash.hpp"
 #include "lab/fleet_sim.hpp"
 #include "lab/hollow/hollow_command.hpp"
+#include "lab/scale/command.hpp"
 #include "lab/worker.hpp"
 
 namespace {
@@ -118,18 +119,19 @@
   lab::CrashSettings crash;
   int port = 0, count = 1;
   lab::FleetSim fleet;
+  lab::scale::CommandOptions scale;
   bool plain = false, no_faults = false, steady = false;
   options::options_description shown("Options");
   shown.add_options()("help,h", "print this page")("port", options::value(&port), "worker: where it listens")(
       "ledger", options::value(&ledger), "worker: its books")("answers", "worker: may be asked about jobs")(
       "steady", options::bool_switch(&steady), "worker: all that it does takes 5 to 30 ms, and ends well")(
       "dispatcher", options::value(&crash.dispatcher), "crash: the program under test")(
-      "folder", options::value(&crash.folder), "crash, points, check: for all files")(
+      "folder", options::value(&crash.folder), "crash, points, check, scale: for all files")(
       "kills", options::value(&crash.kills)->default_value(crash.kills), "crash: how many")(
       "clients", options::value(&crash.clients)->default_value(crash.clients), "crash: how many at once")(
       "gap", options::value(&crash.gap_ms)->default_value(crash.gap_ms), "crash: mean ms between two kills")(
       "count", options::value(&count)->default_value(count), "changes: how many, one seed each")(
-      "seed", options::value(&crash.seed)->default_value(crash.seed), "crash: of all that is drawn")(
+      "seed", options::value(&crash.seed)->default_value(crash.seed), "of all that is drawn")(
       "plain", options::bool_switch(&plain), "crash: workers cannot be asked")(
       "no-faults", options::bool_switch(&no_faults), "crash: no ends within the store")(
       "kind", options::value(&kind), "points: kill, torn, fail or full")(
@@ -144,7 +146,11 @@
       "fails", options::value(&fleet.failed), "fleet: share of payouts that the new version fails")(
       "slower", options::value(&fleet.slow), "fleet: by which share its times are longer")(
       "bake", options::value(&fleet.bake_s), "fleet: s of each stage, at least")(
-      "margin", options::value(&fleet.margin), "fleet: what counts as not worse");
+      "margin", options::value(&fleet.margin), "fleet: what counts as not worse")(
+      "part", options::value(&scale.part), "scale: which part is swept; an unknown one names them all")(
+      "json", options::value(&scale.json_file), "scale: the report, as JSON, is written there")(
+      "svg", options::value(&scale.svg_file), "scale: a plot is written there")(
+      "small", options::bool_switch(&scale.settings.small), "scale: few sizes and few samples");
   options::options_description all(shown);
   all.add_options()("command", options::value(&command));
   options::positional_options_description places;
@@ -163,6 +169,7 @@
            "  fleet    a change of hundreds of dispatchers on a made-up clock\n"
            "  hollow   many dispatchers without traffic and their service discovery; has a --help of its "
            "own\n"
+           "  scale    sweep one part over growing sizes: cost by size, slopes, where it bends\n"
            "  worker   a stand-in worker\n"
            "  registry, clients   processes that cluster starts\n\n"
         << shown;
@@ -173,6 +180,11 @@
     if (fleet.stages.empty()) fleet.stages = {1, fleet.dispatchers / 10, fleet.dispatchers};
     return run_fleet(fleet, crash.seed, count);
   }
+  if (command == "scale") {
+    scale.settings.seed = crash.seed;
+    scale.settings.folder = crash.folder;
+    return lab::scale::run_command(scale);
+  }
   if (command == "worker") return run_worker(port, ledger, values.count("answers") > 0, steady);
   if (command == "registry") lab::cluster::run_registry(plan, record);
   if (command == "clients") return lab::cluster::run_clients(plan, to, record), 0;
--- /dev/null
+++ b/src/lab/scale/stand_in_supervisors.cpp
@@ -0,0 +1,81 @@
+#include "lab/scale/stand_in_supervisors.hpp"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <nlohmann/json.hpp>
+
+namespace woadtide::lab::scale {
+
+namespace {
+
+constexpr double kPatienceMs = 1'000, kLookMs = 20;
+
+// What a supervisor says whose dispatcher serves, in the form of supervise::Supervisor.
+std::string status_text() {
+  const nlohmann::json child{{"slot", 0},
+                             {"pid", 12345},
+                             {"version", "0123456789abcdef"},
+                             {"stands", "serving"},
+                             {"management", "10.0.0.7:8401"}};
+  const nlohmann::json status{{"name", "dispatcher-0001"},
+                              {"zone", "zone-01"},
+                              {"serves", true},
+                              {"version", "0123456789abcdef"},
+                              {"pid", 12345},
+                              {"since_ms", 123456.5},
+                              {"wanted", "0123456789abcdef"},
+                              {"good", "0123456789abcdef"},
+                              {"candidate", ""},
+                              {"before", ""},
+                              {"controller", "0011223344556677"},
+                              {"change", "c-01234567"},
+                              {"newest", 17},
+                              {"progress", "done"},
+                              {"why", ""},
+                              {"fell_back", ""},
+                              {"evacuated", false},
+                              {"excluded", nlohmann::json::array()},
+                              {"crashes", 0},
+                              {"children", {child}}};
+  return "done " + status.dump() + '\n';
+}
+
+}  // namespace
+
+StandInSupervisors::StandInSupervisors()
+    : listener_(net::Socket::listen_at(net::Address("127.0.0.1:0"))),
+      status_(status_text()),
+      thread_("supervisors", [this] { run(); }) {}
+
+StandInSupervisors::~StandInSupervisors() {
+  ending_ = true;
+  thread_.join();
+}
+
+std::string StandInSupervisors::address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
+
+void StandInSupervisors::run() {
+  while (!ending_) {
+    const auto [ready, other] = net::wait_for(listener_.fd(), POLLIN, -1, clock_.now() + kLookMs, clock_);
+    if (ready != 0) answer_one();
+  }
+}
+
+// The whole call has come, or comes at once: the controller writes it as soon as it has connected.
+void StandInSupervisors::answer_one() {
+  net::Socket caller{net::Fd(::accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC))};
+  if (!caller) return;
+  const double deadline = clock_.now() + kPatienceMs;
+  std::string call;
+  char bytes[256];
+  std::size_t got = 0;
+  while (call.find('\n') == std::string::npos) {
+    if (caller.receive(bytes, sizeof bytes, got, deadline, clock_) != net::Io::done) return;
+    call.append(bytes, got);
+  }
+  caller.send({status_}, deadline, clock_);
+  calls_ += 1;
+}
+
+}  // namespace woadtide::lab::scale
