--- a/src/lab/scale/controller_part.cpp
+++ b/src/lab/scale/controller_part.cpp
@@ -6,6 +6,7 @@
 
 #include "config/operator_file.hpp"
 #include "control/controller.hpp"
+#include "core/figures.hpp"
 #include "lab/scale/allocations.hpp"
 #include "lab/scale/change_harness.hpp"
 #include "lab/scale/parts.hpp"
@@ -64,6 +65,24 @@
   for (Series* one : {&bytes, &orders, &memory}) report.series.push_back(std::move(*one));
 }
 
+// What the looks at 100 dispatchers before their change take: the past that a verdict is measured by.
+void sweep_looks(Report& report, const Settings& settings) {
+  Series memory{"memory of looks at 100 dispatchers", "looks", "KB", {}, {}};
+  ChangeHarness fleet(settings.small ? 10 : 100, settings.seed);
+  fleet.finish_checks();
+  const double before = live_kilobytes();
+  const int most = settings.small ? 32 : 1'000;
+  int next_point = most / 8;
+  for (int looks = 1; looks <= most; ++looks) {
+    fleet.serve_second();
+    fleet.turn();
+    if (looks != next_point) continue;
+    memory.points.push_back(point_of(looks, {live_kilobytes() - before}));
+    next_point += most / 8;
+  }
+  report.series.push_back(std::move(memory));
+}
+
 // All supervisors are asked how they stand, over loopback; they answer at once.
 void sweep_calls(Report& report, const Settings& settings) {
   const StandInSupervisors supervisors;
@@ -124,13 +143,24 @@
       {"most members that the operator's file may name", static_cast<double>(takes), "dispatchers"});
 }
 
+// A dispatcher's figures at their largest: two classes, with answers in each bin.
+void tell_figures_bytes(Report& report) {
+  core::Figures figures;
+  for (const char* name : {"receipt-check", "refund-payout"})
+    for (std::size_t bin = 0; bin < core::kBins; ++bin) figures[name].add_served(core::top_of(bin), false);
+  report.facts.push_back({"one dispatcher's figures, two classes, all bins in use",
+                          static_cast<double>(core::text_of(figures).size()), "bytes"});
+}
+
 }  // namespace
 
 Report run_controller_part(const Settings& settings) {
   Report report{"controller", settings.seed, {}, {}};
   sweep_cores(report, settings);
+  sweep_looks(report, settings);
   sweep_calls(report, settings);
   find_most_members(report, settings);
+  tell_figures_bytes(report);
   return report;
 }
 
--- a/src/lab/scale/fit.cpp
+++ b/src/lab/scale/fit.cpp
@@ -136,6 +136,8 @@
   return {intercept.value + slope.value * size, std::sqrt(std::max(variance, 0.0))};
 }
 
+double PowerFit::at(double size) const { return factor * std::pow(size, exponent.value); }
+
 LineFit fit_line(const std::vector<Observation>& observations) {
   check(observations);
   const double scale = largest_size(observations);
--- a/src/lab/scale/fit.hpp
+++ b/src/lab/scale/fit.hpp
@@ -32,6 +32,7 @@
 struct PowerFit {
   double factor = 0;
   Estimate exponent;
+  double at(double size) const;
 };
 
 // Two lines that meet at `size`.
@@ -40,6 +41,8 @@
   double slope_before = 0, slope_after = 0;
 };
 
+// Above this relative residual a line is taken not to fit: its value at another size says nothing.
+constexpr double kMostResidual = 0.25;
 // Below this relative residual a line is taken to fit exactly: no bend is sought in what is left.
 constexpr double kResidualFloor = 0.01;
 // By how much the Bayesian information criterion of the bent line must be below that of the straight one:
--- a/src/lab/scale/report.cpp
+++ b/src/lab/scale/report.cpp
@@ -53,6 +53,19 @@
         << " | " << number(point.high) << " | " << point.samples << " |\n";
 }
 
+// The line where it fits; else the power law, which has no error told; else nothing.
+void write_target(std::ostringstream& out, const Series& series, const SeriesFit& fit, double target) {
+  const bool line_fits = fit.line.relative_residual <= kMostResidual;
+  const std::string where = target > largest_size(series) ? " (extrapolated)" : "";
+  if (line_fits)
+    out << "  line at " << number(target) << ": " << with_error(fit.line.at(target));
+  else if (fit.power)
+    out << "  no line fits; power law at " << number(target) << ": " << number(fit.power->at(target));
+  else
+    out << "  no line fits, and no power law: nothing is told for " << number(target);
+  out << ' ' << series.unit << where << '\n';
+}
+
 void write_fit(std::ostringstream& out, const Series& series, const SeriesFit& fit) {
   if (fit.power)
     out << "  exponent " << with_error(fit.power->exponent) << "; ";
@@ -63,9 +76,7 @@
   if (fit.bend)
     out << "  bends at " << number(fit.bend->size) << ": slope " << number(fit.bend->slope_before)
         << ", then " << number(fit.bend->slope_after) << '\n';
-  for (const double target : series.targets)
-    out << "  line at " << number(target) << ": " << with_error(fit.line.at(target)) << ' ' << series.unit
-        << (target > largest_size(series) ? " (extrapolated)" : "") << '\n';
+  for (const double target : series.targets) write_target(out, series, fit, target);
 }
 
 json json_of(const Estimate& estimate) {
@@ -81,6 +92,7 @@
     object["bend"] = {{"size", fit.bend->size},
                       {"slope_before", fit.bend->slope_before},
                       {"slope_after", fit.bend->slope_after}};
+  object["line_fits"] = fit.line.relative_residual <= kMostResidual;
   for (const double target : series.targets) {
     json at = json_of(fit.line.at(target));
     at["size"] = target;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -287,5 +287,17 @@
   CHECK(table_of(report).find("too few points for a fit") != std::string::npos);
 }
 
+TEST_CASE("report: a line that does not fit tells nothing of other sizes") {
+  Report report{
+      "module", 1, {{"cubic", "workers", "us", {}, {10'000}}, {"line", "workers", "us", {}, {10'000}}}, {}};
+  for (const double size : kSizes) {
+    report.series[0].points.push_back(point_of(size, {size * size * size}));
+    report.series[1].points.push_back(point_of(size, {3 * size}));
+  }
+  const std::string table = table_of(report);
+  CHECK(table.find("no line fits; power law at 10000: 1000000000000 us (extrapolated)") != std::string::npos);
+  CHECK(table.find("  line at 10000: 30000 +- 0 us (extrapolated)") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace woadtide::lab::scale
