Bound the stages that the controller's count test plays, so that a change that stands still fails

With only one check order a tick, put in by hand, the test's loop had no end and the run stopped by its time-out. It plays ten stages at most now and fails.

--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -256,7 +256,7 @@
     fleet.finish_checks();
     CHECK(fleet.orders_at_first_tick() == static_cast<std::size_t>(members));
     std::size_t moved = 0;
-    while (!fleet.rollout().over()) {
+    for (int stage = 0; stage < 10 && !fleet.rollout().over(); ++stage) {
       moved += fleet.move_stage();
       fleet.next_stage();
     }
