--- a/tests/node_harness.hpp
+++ b/tests/node_harness.hpp
@@ -181,8 +181,10 @@
 struct Served {
   using Change = std::function<void(nlohmann::json& config)>;
   explicit Served(Hosts hosts, const Change& change = {}, park::Crew::Start start = {})
-      : node(core::read_config(changed(config_json(std::move(hosts), discovery.dial()), change)), standing(),
-             {}, std::move(start)) {}
+      : config(changed(config_json(std::move(hosts), discovery.dial()), change)),
+        node(core::read_config(config), standing(), {}, std::move(start)) {
+    if (config["discovery"] == discovery.dial()) watch = confirm_list(discovery, node);
+  }
   static nlohmann::json changed(nlohmann::json config, const Change& change) {
     if (change) change(config);
     return config;
@@ -203,8 +205,9 @@
 
   Port discovery;
   core::Clock clock;
+  nlohmann::json config;
   Node node;
-  Peer watch;
+  std::optional<Peer> watch;  // none where `change` has put discovery elsewhere
 };
 
 }  // namespace woadtide
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -254,8 +254,7 @@
     CAPTURE(static_cast<int>(how));
     FirstAttempt attempt(3);
     Workers& workers = attempt.workers;
-    Peer list = attempt.served.discovery.accept();
-    list.message();
+    Peer& list = *attempt.served.watch;
     const std::size_t others[] = {(attempt.first + 1) % 3, (attempt.first + 2) % 3};
     for (const std::size_t other : others) workers.hold_connects(other);
     attempt.link->write(failed(FirstAttempt::kId));
@@ -263,7 +262,7 @@
     const std::size_t second = workers.connect_waits(others[0]) ? others[0] : others[1];
     const std::size_t third = 3 - attempt.first - second;
     const nlohmann::json one_more = host_json("more", "127.0.0.1:1", "Terminating");
-    list.write(chunked({list_line(42, false, {workers.host(second, "Terminating"), one_more})}));
+    say(list, list_line(42, false, {workers.host(second, "Terminating"), one_more}));
     await_figure(attempt.served, "discovered", 4);
     attempt.leave(how);
     for (const std::size_t other : others) workers.take_connects(other);
@@ -337,6 +336,11 @@
     for (nlohmann::json& kind : config["settings"]["Categories"])
       kind["DeadlineUs"] = kind["PromiseUs"] = 60'000'000;
   });
+  // Discovery is down from the start: what is remembered comes into force as no other list is to be had.
+  for (int i = 0; i < 40; ++i) {
+    served.clock.set(served.clock.now() + 100);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
   const net::Address front("127.0.0.1:" + std::to_string(served.node.port()));
   const auto request = [](const std::string& id) {
     const std::string text = query_text(id, "receipt-check");
@@ -390,10 +394,8 @@
 TEST_CASE("a drain told at discovery's new address, right after a reload, holds for the next request") {
   Workers workers(2);
   Served served(workers.hosts());
-  Peer old = served.discovery.accept();
-  old.message();
-  old.write(
-      chunked({list_line(50, true, {workers.host(0), workers.host(1), host_json("old", "127.0.0.1:1")})}));
+  Peer& old = *served.watch;
+  say(old, list_line(50, true, {workers.host(0), workers.host(1), host_json("old", "127.0.0.1:1")}));
   await_figure(served, "discovered", 3);
   Port moved;
   served.node.reload(core::read_config(config_json(workers.hosts(), moved.dial())));
@@ -413,9 +415,8 @@
 TEST_CASE("after a list that fell silent late, one that comes whole again is the list") {
   Workers workers(2);
   Served served(workers.hosts());
-  Peer first = served.discovery.accept();
-  first.message();
-  first.write(chunked({list_line(42, true, workers.hosts())}));
+  Peer& first = *served.watch;
+  say(first, list_line(42, true, workers.hosts()));
   // A line each 3 s, late but no silence; then none. Each is one more host, so that it shows when it is
   // heard.
   for (std::size_t i = 1; i <= 3; ++i) {
@@ -444,9 +445,8 @@
 TEST_CASE("a process that serves nobody keeps its list fresh, whatever its discovery does") {
   Workers workers(2);
   Served served(workers.hosts());
-  std::optional<Peer> list = served.discovery.accept();
-  list->message();
-  list->write(chunked({list_line(42, true, workers.hosts())}));
+  std::optional<Peer> list = std::move(served.watch);
+  say(*list, list_line(42, true, workers.hosts()));
   // It falls silent, is refused, and ends: asked again each time, without a request.
   for (const char* state : {"silent", "refused", "ended"}) {
     CAPTURE(state);
@@ -476,7 +476,6 @@
 TEST_CASE("clients that reset right after they connect leave nothing behind, with half a request or none") {
   Workers workers(1);
   Served served(workers.hosts());
-  served.discovery.accept().message();
   Peer kept = served.client();
   const std::string ask_live = "GET /health/live HTTP/1.1\r\n\r\n";
   kept.write(ask_live);
