--- a/src/endpoints/json_value_scanner.hpp
+++ b/src/endpoints/json_value_scanner.hpp
@@ -11,6 +11,7 @@
 
 namespace woadtide::endpoints {
 
+// One value after the other, each from its first byte that is not white space.
 class JsonValueScanner {
  public:
   // Objects and arrays within each other.
--- a/src/endpoints/limits.hpp
+++ b/src/endpoints/limits.hpp
@@ -5,6 +5,7 @@
 
 namespace woadtide::endpoints {
 
+// What one update may have at most.
 struct EndpointLimits {
   std::size_t max_endpoints = 0;     // in one update
   std::size_t max_update_bytes = 0;  // of text, from the opening brace to the closing one, with white space
--- a/src/endpoints/list_reader.hpp
+++ b/src/endpoints/list_reader.hpp
@@ -16,7 +16,8 @@
 
 namespace woadtide::endpoints {
 
-// Hears what the reader has read. It must not call the reader from within.
+// Hears what the reader has read. It must not call the reader from within. An exception of its passes through
+// feed(), and the rest of that piece is lost: reset() comes next.
 class EndpointListListener {
  public:
   virtual ~EndpointListListener() = default;
@@ -28,6 +29,7 @@
   virtual void on_error(const EndpointListError& error) = 0;
 };
 
+// One body after the other; in one, any number of updates.
 class EndpointListReader {
  public:
   EndpointListReader(const EndpointLimits& limits, EndpointListListener& listener);
--- a/tests/endpoints_test.cpp
+++ b/tests/endpoints_test.cpp
@@ -154,6 +154,9 @@
       "hello\n",
       "[1]\n",
       R"({seq:1})",
+      R"({1:1})",
+      R"({null:1})",
+      R"({[]:1})",
       R"({"seq" 1})",
       R"({"seq":1 "whole":true})",
       R"({"seq":1,})",
@@ -337,6 +340,16 @@
   CHECK(!reader.error().has_value());
 }
 
+TEST_CASE("a body's first line may be empty also after a body that ended without a line's end") {
+  Recorder recorder;
+  EndpointListReader reader(kAmpleLimits, recorder);
+  reader.feed(R"({"seq":1,"whole":true,"hosts":[]})");
+  reader.reset();
+  reader.feed("\n");
+  REQUIRE(recorder.events.size() == 2);
+  CHECK(recorder.events[1].kind == Event::Kind::keep_alive);
+}
+
 TEST_CASE("limits follow from the memory available") {
   constexpr std::size_t kMegabyte = 1024 * 1024;
   CHECK(endpoint_limits(0).max_endpoints == kMinEndpoints);
