--- a/src/lab/hollow/hollow_fleet.cpp
+++ b/src/lab/hollow/hollow_fleet.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/clock.hpp"
+#include "core/host_list.hpp"
 
 namespace woadtide::lab::hollow {
 
@@ -34,6 +35,7 @@
   settings.classes = {class_settings(woadtide::Effect::safe), class_settings(woadtide::Effect::unsafe)};
   settings.list_on_request = true;
   settings.must_ask_within = core::to_micros(fleet.must_ask_within_ms);
+  settings.list_binds_after = core::to_micros(core::kToldWithinMs);  // as core::read_config has it
   settings.max_attempts = 4;
   settings.max_retry_after = 2s;
   return settings;
--- a/src/lab/scale/list_crowd.cpp
+++ b/src/lab/scale/list_crowd.cpp
@@ -7,6 +7,8 @@
 #include <variant>
 #include <vector>
 
+#include "core/clock.hpp"
+#include "core/host_list.hpp"
 #include "lab/scale/module_harness.hpp"
 
 namespace woadtide::lab::scale {
@@ -22,6 +24,7 @@
       woadtide::Settings settings = module_settings(crowd.dispatchers, i);
       settings.list_on_request = true;
       settings.must_ask_within = crowd.must_ask_within;
+      settings.list_binds_after = core::to_micros(core::kToldWithinMs);  // as core::read_config has it
       dispatchers_.emplace_back(settings, seed * 1'000'003 + static_cast<std::uint64_t>(i));
     }
     subscribed_.resize(dispatchers_.size());
