--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -429,6 +429,7 @@
   const std::string path = bench.part.folder + "/jobs.db", text(5'000, 'x');
   std::ofstream(path) << text;
   Dispatcher dispatcher(bench, false);
+  await_ready(*dispatcher.node);
   Peer plain = Peer::to(dispatcher.node->port());
   plain.write(query_text("q1", "receipt-check"));
   CHECK(has(plain.message(), " 200 "));
