Take back the cycle of turns that never goes back: few dispatchers lose by it

By reading: a cycle that jumped ahead, as the mean of work was small, keeps a dispatcher from all turns until the others have come as far; with few dispatchers that is seconds.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -639,7 +639,7 @@
         spans * whole - place_in_turn(worker.entry.worker, settings_.number, settings_.dispatchers);
     const double cycle = std::floor(turn / settings_.dispatchers);
     if (turn < 0 || turn - cycle * settings_.dispatchers > jobs) return false;
-    return worker.last_cycle < cycle ? worker.next_cycle = cycle, true : false;
+    return worker.last_cycle != cycle ? worker.next_cycle = cycle, true : false;
   }
 
   static double load_of(const Job& job) { return seconds(job.work) * job.request.slots; }
