--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -803,6 +803,19 @@
   }
 }
 
+// STANDING: an attempt tells its worker at most what is left to the client, with 0.15 s of slack. That counts
+// when it begins, with its last byte.
+TEST_CASE("an attempt that has told its worker more time than is left at its last byte never begins") {
+  constexpr double kLastsMs = 60'000, kPassedMs = 20'000;
+  Bench bench("Ready", 8, 10'000);
+  bench.start("q", kLastsMs);
+  Peer link = bench.begun();
+  bench.clock.set(kNow + kPassedMs);
+  Bench::speak(link);
+  CHECK(bench.ending() == Status::moot);
+  Bench::check_never_ran(link);
+}
+
 // Guards a payout on a kept link against a worker that answers the one before it twice, some ms late.
 TEST_CASE("what comes on a kept link before its query is whole is not taken for its answer") {
   Bench bench("Ready", 8, 10'000);
