Test a silent agent, a slow discovery and a start ahead of the clock at their limits; three red

Need, from STANDING: where lists are pushed, what the agent has counts from the first moment of a process; discovery may be slow or crowded; a wall clock may be stepped by an hour. Seen: a process sends by the remembered list while its agent has told nothing; a call that discovery answers after more than 4 s is given up each time, so that none is ever answered; a worker whose start lies ahead of our clock gets nothing until the clock has passed it. A fourth test, of an end before the first list, holds.

--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -58,5 +58,36 @@
   CHECK(client.message().ends_with("\r\n\r\ntwo"));
 }
 
+// STANDING: where lists are pushed, what the agent has counts as told from the first moment of a new process.
+TEST_CASE("a process whose agent has told it nothing sends nothing by the list that it remembers") {
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())}, [](nlohmann::json& config) {
+    config["settings"]["Discovery"] = "pushed";
+    config["discovery"] = "127.0.0.1:1";
+  });
+  CHECK(served.ask(query_text("a1", "receipt-check")).starts_with("HTTP/1.1 503 "));
+  CHECK_FALSE(comes(worker.socket, kNothingMs));
+}
+
+// PROTOCOL: SIGKILL comes no sooner than the longest deadline plus 0.7 s after SIGTERM.
+TEST_CASE("an end before the first list answers all and is over in time, however short the deadlines") {
+  constexpr double kDeadlineMs = 300, kKillMs = kDeadlineMs + 700;
+  Port worker, discovery;
+  nlohmann::json config = config_json(Hosts{host_json("w", worker.dial())}, discovery.dial());
+  for (nlohmann::json& kind : config["settings"]["Categories"])
+    kind["DeadlineUs"] = static_cast<int>(kDeadlineMs * 1'000);
+  core::Clock clock;
+  Node node(core::read_config(config), clock);
+  Peer before = Peer::to(node.port()), during = Peer::to(node.port());
+  before.write(with_budget(query_text("a1", "refund-payout"), "300m"));
+  const double told = clock.now();
+  std::thread end([&] { node.finish(); });
+  CHECK(before.message().starts_with("HTTP/1.1 503 "));
+  during.write(with_budget(query_text("a2", "refund-payout"), "300m"));
+  CHECK(during.message().starts_with("HTTP/1.1 503 "));
+  end.join();
+  CHECK(clock.now() - told < kKillMs);
+}
+
 }  // namespace
 }  // namespace woadtide
--- a/tests/lists_test.cpp
+++ b/tests/lists_test.cpp
@@ -167,6 +167,30 @@
 }
 
 // Guards the drain rule: a list is in force only for a time from when discovery could tell nothing newer.
+// STANDING: discovery that is slow or crowded. It works on calls that were given up, too: one that is called
+// anew before it can answer never does.
+TEST_CASE("a call that discovery was too slow for is followed by one that waits longer") {
+  Group group(HostGroup::Way::asked);
+  group.hosts.watch();
+  group.pass_until(group.agent.socket);
+  Peer first = group.agent.accept();
+  first.message();
+  group.pass_until(first.socket);
+  CHECK(first.closed());
+  Peer second = group.agent.accept();
+  second.message();
+  pollfd closes{second.socket.fd(), POLLIN, 0};
+  for (double passed = 0; passed < 1.5 * HostGroup::kSilenceMs; passed += 100) {
+    group.clock.set(group.clock.now() + 100);
+    REQUIRE(::poll(&closes, 1, 2) == 0);
+  }
+  second.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  Group::say(second, line_of(42, true, {host_json("v", "127.0.0.1:2")}));
+  ListUpdate update = group.next();
+  while (update.kind == ListKind::interrupted) update = group.next();
+  CHECK(update.kind == ListKind::full);
+}
+
 TEST_CASE("how a watch or a call ends says since when discovery may have told others more") {
   Group group(HostGroup::Way::asked);
   group.hosts.watch();
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -496,6 +496,18 @@
   EXPECT_NE(d.ask("next", 1), "");
 }
 
+// STANDING: the wall clock may be stepped by an hour: one that was set back before this process began shows
+// starts that are yet to come.
+TEST(List, AStartAheadOfTheClockCountsFromWhenItIsHeard) {
+  Driver d;
+  ListEntry worker = entry("w");
+  worker.started = d.now + 1h;
+  d.list({worker});
+  d.pass(plain_settings().cold_time);
+  EXPECT_EQ(d.run("a", 50ms), "w");
+  EXPECT_EQ(d.run("b", 50ms), "w");
+}
+
 TEST(List, AnEmptyListRefusesAndRecovers) {
   Driver d;
   EXPECT_EQ(d.ask("early"), "");
