Wait longer for a slow discovery, and believe no remembered list where lists are pushed

A process sent by the list that the platform remembers while its agent had told nothing, though what the agent has counts from the first moment. Each further call now waits twice as long, up to 16 s; a list that is not in force is not used meanwhile, as before. - A worker whose start lies ahead of our clock counted as cold until the clock had passed it. It now counts from when it is heard. - Two processes of one dispatcher told each other the age of a list in Unix time, which each reads at its own start. With a step in between a list was in force an hour too long (or never). They tell points on the machine's monotonic clock.

--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -43,6 +43,8 @@
   // With list_on_request: a change of the list binds so long after discovery had it and could be reached,
   // heard of or not. 0: only what was heard binds.
   Micros list_binds_after{0};
+  // A list that this process only remembers is not in force: what discovery has binds from the first moment.
+  bool list_must_be_told = false;
   Micros tick{1000};  // least gap between two batches of events
   // A worker that starts has start_capacity of its capacity and all of it after cold_time; sent more than
   // fall_multiple of what it has at the moment for fall_after, it falls.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -148,7 +148,8 @@
     worker.entry = entry;
     worker.kind = &kinds_[entry.kind];
     worker.usual_wait = &usual_wait_[{entry.zone, entry.kind}];
-    if (restarted && entry.state == WorkerState::ready) start_cold(worker, *entry.started);
+    // One that lies ahead of this clock was told by another: it is over by now.
+    if (restarted && entry.state == WorkerState::ready) start_cold(worker, std::min(*entry.started, now_));
     take_back(worker);
     drop_if_gone(item);
   }
--- a/src/core/config.cpp
+++ b/src/core/config.cpp
@@ -36,6 +36,7 @@
     if (object.contains("known")) config.known = read_host_list(object["known"]);
     config.settings = woadtide::wire::read_settings(object.at("settings"), config.class_names);
     if (config.settings.list_on_request) config.settings.list_binds_after = to_micros(kToldWithinMs);
+    config.settings.list_must_be_told = !config.settings.list_on_request;
     check(config.settings);
     return config;
   } catch (const nlohmann::json::exception& wrong) {
--- a/src/core/host_list.cpp
+++ b/src/core/host_list.cpp
@@ -26,7 +26,7 @@
                      {"dial", host.dial}});
   }
   nlohmann::json text({{"seq", list.seq}, {"whole", list.whole}, {"hosts", std::move(hosts)}});
-  if (list.as_of_ms) text["as_of_ms"] = *list.as_of_ms;
+  if (list.as_of_monotonic_ms) text["as_of_monotonic_ms"] = *list.as_of_monotonic_ms;
   return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -35,7 +35,8 @@
     HostList list;
     list.seq = object.at("seq").get<std::int64_t>();
     list.whole = object.at("whole").get<bool>();
-    if (object.contains("as_of_ms")) list.as_of_ms = object["as_of_ms"].get<double>();
+    if (object.contains("as_of_monotonic_ms"))
+      list.as_of_monotonic_ms = object["as_of_monotonic_ms"].get<double>();
     for (const nlohmann::json& host : object.at("hosts")) list.hosts.push_back(decode_endpoint(host));
     return list;
   } catch (const EndpointFieldError& wrong) {
--- a/src/core/host_list.hpp
+++ b/src/core/host_list.hpp
@@ -22,8 +22,9 @@
   std::int64_t seq = 0;
   bool whole = false;
   std::vector<Host> hosts;
-  // Between processes of one dispatcher: when discovery could last tell nothing newer, in ms of the clock.
-  std::optional<double> as_of_ms = {};
+  // Between processes of one dispatcher: when discovery could last tell nothing newer, in ms of the machine's
+  // monotonic clock.
+  std::optional<double> as_of_monotonic_ms = {};
 };
 
 // Throws std::runtime_error, naming the field, where the list is not what discovery may write.
--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -78,7 +78,7 @@
   discovery_ = discovery;
   address_ = address;
   any_seq_ = true;
-  not_before_ = 0;
+  not_before_ = unanswered_ms_ = 0;
   if (body_ && told_) as_of_ = heard_at_;
   if (as_of_) as_of_ = std::min(*as_of_, clock_.now() - (core::kToldWithinMs - kMoveBindsMs));
   tell_interruption();
@@ -128,7 +128,7 @@
     heard_at_ = clock_.now();
     intake_.emplace(socket_, clock_, pool_);
     watch_ = park_.enter(*this, socket_.fd());
-    park_.wake_at(watch_, heard_at_ + silence_ms_);
+    park_.wake_at(watch_, heard_at_ + patience_ms());
     opening_ = false;
     opened_.notify_all();
     // What came, or was shut, before it stood there.
@@ -148,7 +148,7 @@
   if (stopping_ || !intake_) return;
   try {
     hear();
-    park_.wake_at(watch_, intake_->starved() ? clock_.now() + kGoOnMs : heard_at_ + silence_ms_);
+    park_.wake_at(watch_, intake_->starved() ? clock_.now() + kGoOnMs : heard_at_ + patience_ms());
   } catch (const Failure& failed) {
     end(failed.ending, failed.what());
   } catch (const std::exception& failed) {
@@ -166,9 +166,14 @@
   // opened at once, also where this one never spoke, as of a call that was waiting when all fell silent. The
   // module's gap between calls is for a discovery that answers, and says no. An agent that never spoke is
   // down.
+  if (way_ == Way::asked && !body_)
+    unanswered_ms_ = std::min(2 * patience_ms(), kMostUnansweredFactor * silence_ms_);
   end(Ending::silent, body_ ? "silent" : "no answer");
 }
 
+// Under the mutex. How long the open call may say nothing.
+double HostGroup::patience_ms() const { return body_ ? silence_ms_ : std::max(silence_ms_, unanswered_ms_); }
+
 // Under the mutex, all that has come. A watch lasts until something breaks it: then it throws.
 void HostGroup::hear() {
   intake_->begin_turn();
@@ -178,6 +183,7 @@
     if (!length && why == Io::late) return;
     if (!length) throw Failure(Ending::unreachable, "ended before an answer");
     const Head head = read_answer_head(intake_->view().substr(0, *length));
+    unanswered_ms_ = 0;
     if (head.status != 200)
       throw Failure(Ending::refused, "discovery answered " + std::to_string(head.status));
     const Framing framing = framing_of_answer(head);
@@ -271,7 +277,8 @@
 std::string HostGroup::list() const {
   const std::lock_guard lock(mutex_);
   core::HostList list{seq_, true, {}};
-  list.as_of_ms = body_ && told_ ? heard_at_ : as_of_;
+  const std::optional<double> as_of = body_ && told_ ? heard_at_ : as_of_;
+  if (as_of) list.as_of_monotonic_ms = clock_.to_monotonic(*as_of);
   for (const endpoints::Endpoint& endpoint : table_) list.hosts.push_back(endpoint);
   return core::text_of(list);
 }
@@ -283,11 +290,14 @@
   if (object.is_discarded()) return;
   const core::HostList list = core::read_host_list(object);
   const std::lock_guard lock(mutex_);
-  const bool confirms = list.seq == seq_ && !as_of_ && list.as_of_ms;
+  const bool confirms = list.seq == seq_ && !as_of_ && list.as_of_monotonic_ms;
   if (stopping_ || (list.seq <= seq_ && !confirms)) return;
   core::log_line("host group: the other process has seq " + std::to_string(list.seq) + ", this one had " +
                  std::to_string(seq_));
-  if (list.as_of_ms) as_of_ = std::max(as_of_.value_or(*list.as_of_ms), *list.as_of_ms);
+  if (list.as_of_monotonic_ms) {
+    const double as_of = clock_.from_monotonic(*list.as_of_monotonic_ms);
+    as_of_ = std::max(as_of_.value_or(as_of), as_of);
+  }
   apply(update_of(list), ListKind::remembered);
   if (as_of_) tell_first_list();
 }
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -34,6 +34,10 @@
   static constexpr double kOlderMs = core::kToldWithinMs;
   // PROTOCOL: after a reload, what the new address has to tell counts as told so long after it.
   static constexpr double kMoveBindsMs = 4'000;
+  // What a call waits at the most for its answer, where ones before it had none: discovery may be slow, or
+  // have many callers, and works on those that were given up too. A fleet of 900 in turn, at 20 ms each,
+  // takes 18 s.
+  static constexpr int kMostUnansweredFactor = 4;
   // Where no memory limit is told: DEPLOY's largest.
   static constexpr std::size_t kUsualMemoryBytes = 192'000'000;
   enum class Way { asked, pushed };
@@ -77,6 +81,7 @@
   [[noreturn]] void throw_ended();
   void check_begun_anew();
   void wait_for_bytes();
+  double patience_ms() const;
   static void log_changes(const endpoints::EndpointDelta& delta);
   // How a watch or a call ended, for what it says of discovery: whether it may have told others since.
   // own: this machine was short of something, which shows nothing of discovery.
@@ -108,6 +113,7 @@
   std::int64_t seq_ = 0;
   bool any_seq_ = false;               // of another address, or discovery begun anew: whatever it says holds
   std::optional<double> older_since_;  // only lists of older sequences have come since
+  double unanswered_ms_ = 0;           // asked: how long a call waits for its answer, longer each time
   double again_ms_ = 0;                // pushed: the gap before the watch is opened again
   endpoints::EndpointTable table_;
   endpoints::EndpointListReader reader_;
--- a/src/subscription/list_subscription.cpp
+++ b/src/subscription/list_subscription.cpp
@@ -33,6 +33,7 @@
 ListSubscription::ListSubscription(const Settings& settings)
     : must_ask_within_(settings.must_ask_within.count() > 0 ? settings.must_ask_within : kDefaultAskWithin),
       binds_after_(settings.list_binds_after),
+      must_be_told_(settings.list_must_be_told),
       longest_period_(binds_after_.count() > 0 ? scaled(binds_after_, kLongestPeriodShare) : Micros::max()) {
   const double calls = settings.dispatchers - kCallsWithoutRush;
   spread_ = scaled(must_ask_within_, std::clamp(kShareOfOneCall * calls, 0.0, kMostShare));
@@ -94,7 +95,8 @@
 }
 
 bool ListSubscription::is_list_in_force(Micros now) const {
-  if (subscribed_ || binds_after_.count() == 0) return true;
+  if (subscribed_) return true;
+  if (binds_after_.count() == 0) return !must_be_told_ || as_of_;
   return as_of_ && now < *as_of_ + binds_after_;
 }
 
--- a/src/subscription/list_subscription.hpp
+++ b/src/subscription/list_subscription.hpp
@@ -37,6 +37,7 @@
   Micros bound_retry(Micros now, Micros last_call, double draw) const;
 
   const Micros must_ask_within_, binds_after_;
+  const bool must_be_told_;
   Micros spread_{0};         // over which the calls of all dispatchers are no more than discovery can take
   Micros longest_period_;    // of calls that fail
   bool subscribed_ = false;  // as far as we know
--- a/tests/lists_test.cpp
+++ b/tests/lists_test.cpp
@@ -191,6 +191,23 @@
   CHECK(update.kind == ListKind::full);
 }
 
+// STANDING: the wall clock may be stepped by an hour, also between the starts of two processes of one
+// dispatcher.
+TEST_CASE(
+    "what another process says of a list's age holds though the wall clock was stepped between their "
+    "starts") {
+  constexpr double kHourMs = 3'600'000;
+  for (const double step : {kHourMs, -kHourMs}) {
+    CAPTURE(step);
+    const core::Clock old_clock, next_clock(step);
+    const double old_now = old_clock.now();
+    const std::string text = core::text_of({42, true, {}, old_clock.to_monotonic(old_now)});
+    const core::HostList heard = core::read_host_list(nlohmann::json::parse(text));
+    REQUIRE(heard.as_of_monotonic_ms);
+    CHECK(std::abs(next_clock.from_monotonic(*heard.as_of_monotonic_ms) - next_clock.now()) < 1'000);
+  }
+}
+
 TEST_CASE("how a watch or a call ends says since when discovery may have told others more") {
   Group group(HostGroup::Way::asked);
   group.hosts.watch();
