--- a/src/lab/soak/command.cpp
+++ b/src/lab/soak/command.cpp
@@ -48,10 +48,10 @@
     requests += result.verdict.requests;
     attempts += result.verdict.attempts;
     std::cout << (result.verdict.good() ? "good" : "BAD ") << " seed " << seed << ": "
-              << result.verdict.summary() << ", log lines " << result.log_lines << '\n';
+              << result.verdict.summary() << ", log lines " << result.log_lines
+              << "\n  plan: " << text_of(plan) << std::endl;
     if (result.verdict.good()) continue;
     bad += 1;
-    std::cout << "  plan: " << text_of(plan) << '\n';
     print(result);
     std::cout << "  replay: woadtide-lab soak --seed " << seed << " --count 1; log in " << settings.folder
               << std::endl;
--- a/src/lab/soak/plan.cpp
+++ b/src/lab/soak/plan.cpp
@@ -34,6 +34,10 @@
     std::snprintf(one, sizeof one, ",%s=%.3f", call, draw.real(0.01, 0.2));
     text += one;
   }
+  if (draw.chance(0.3)) {
+    std::snprintf(one, sizeof one, ",broken=%.4f", draw.real(0.001, 0.02));
+    text += one;
+  }
   if (draw.chance(0.4)) {
     constexpr int kHourMs = 3'600'000;
     const int steps[] = {kHourMs, -kHourMs, 5'000, -5'000};
--- a/tests/fault_shim.cpp
+++ b/tests/fault_shim.cpp
@@ -1,10 +1,11 @@
 // A library that is preloaded into a dispatcher under test. It stands before the C library and lets system
 // calls fail in ways that Linux documents, each call with a stated chance, and steps the wall clock.
 //
-// $WOADTIDE_FAULTS is a list of name=value, parted by commas. accept, socket, connect, read, write, wait: the
-// chance of a failure, from 0 to 1. seed: of all that is drawn. wall=AT:STEP: from AT ms after the first look
-// at a clock the wall clock stands STEP ms off; may come more than once. A read or write that "fails" is
-// interrupted or does less than was asked.
+// $WOADTIDE_FAULTS is a list of name=value, parted by commas. accept, socket, connect, read, write, wait,
+// broken: the chance of a failure, from 0 to 1. broken: a connection that this process has made shows as
+// broken to a read. seed: of all that is drawn. wall=AT:STEP: from AT ms after the first look at a clock the
+// wall clock stands STEP ms off; may come more than once. A read or write that "fails" is interrupted or does
+// less than was asked.
 #include <dlfcn.h>
 #include <poll.h>
 #include <sys/epoll.h>
@@ -29,7 +30,7 @@
 constexpr std::int64_t kNanosPerMs = 1'000'000, kNanosPerSecond = 1'000'000'000;
 
 struct Faults {
-  double accept = 0, socket = 0, connect = 0, read = 0, write = 0, wait = 0;
+  double accept = 0, socket = 0, connect = 0, read = 0, write = 0, wait = 0, broken = 0;
   std::uint64_t seed = 1;
   std::vector<std::pair<std::int64_t, std::int64_t>> wall_steps;  // from when, by how much; ms
 
@@ -43,9 +44,9 @@
     }
   }
   void set(std::string_view name, const std::string& value) {
-    const std::pair<std::string_view, double*> chances[] = {{"accept", &accept},   {"socket", &socket},
-                                                            {"connect", &connect}, {"read", &read},
-                                                            {"write", &write},     {"wait", &wait}};
+    const std::pair<std::string_view, double*> chances[] = {
+        {"accept", &accept}, {"socket", &socket}, {"connect", &connect}, {"read", &read},
+        {"write", &write},   {"broken", &broken}, {"wait", &wait}};
     for (const auto& [known, chance] : chances)
       if (name == known) *chance = std::atof(value.c_str());
     if (name == "seed") seed = std::strtoull(value.c_str(), nullptr, 10);
@@ -74,6 +75,17 @@
   return -1;
 }
 
+// Descriptors of connections that this process has made.
+constexpr int kMostDescriptors = 4'096;
+std::array<std::atomic<bool>, kMostDescriptors> made_here{};
+
+void set_made_here(int fd, bool made) {
+  if (fd >= 0 && fd < kMostDescriptors) made_here[static_cast<std::size_t>(fd)] = made;
+}
+bool is_made_here(int fd) {
+  return fd >= 0 && fd < kMostDescriptors && made_here[static_cast<std::size_t>(fd)];
+}
+
 template <class Call>
 Call next(const char* name) {
   return reinterpret_cast<Call>(::dlsym(RTLD_NEXT, name));
@@ -87,24 +99,31 @@
   static const auto real = next<int (*)(int, sockaddr*, socklen_t*, int)>("accept4");
   if (strikes(faults().accept))
     return fail_with(std::array{ENFILE, ENOBUFS, EINTR, ECONNABORTED, EMFILE, EPROTO, ENETDOWN});
-  return real(fd, address, length, flags);
+  const int taken = real(fd, address, length, flags);
+  set_made_here(taken, false);
+  return taken;
 }
 
 int socket(int domain, int type, int protocol) noexcept {
   static const auto real = next<int (*)(int, int, int)>("socket");
   if (strikes(faults().socket)) return fail_with(std::array{ENFILE, EMFILE, ENOBUFS, ENOMEM});
-  return real(domain, type, protocol);
+  const int made = real(domain, type, protocol);
+  set_made_here(made, false);
+  return made;
 }
 
 int connect(int fd, const sockaddr* address, socklen_t length) {
   static const auto real = next<int (*)(int, const sockaddr*, socklen_t)>("connect");
   if (address->sa_family == AF_INET && strikes(faults().connect))
     return fail_with(std::array{EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EHOSTUNREACH});
+  set_made_here(fd, address->sa_family == AF_INET);
   return real(fd, address, length);
 }
 
 ssize_t recv(int fd, void* to, std::size_t room, int flags) {
   static const auto real = next<ssize_t (*)(int, void*, std::size_t, int)>("recv");
+  if (is_made_here(fd) && strikes(faults().broken))
+    return fail_with(std::array{ETIMEDOUT, EHOSTUNREACH, ECONNRESET});
   if (room > 0 && strikes(faults().read)) {
     if (draw() % 2 == 0) return fail_with(std::array{EINTR});
     room = 1 + draw() % std::min(room, kMostShort);
