--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -58,6 +58,23 @@
   CHECK(client.message().ends_with("\r\n\r\ntwo"));
 }
 
+// STANDING: requests that cross the end of a resting connection, whatever ends it.
+TEST_CASE("a request that comes as its resting connection's time ends is answered") {
+  constexpr int kTimes = 20;
+  constexpr double kIdleMs = 120'000;  // as net::ClientSide has it
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())});
+  for (int i = 0; i < kTimes; ++i) {
+    Peer client = served.client();
+    client.write("GET /health/live HTTP/1.1\r\n\r\n");
+    CHECK(client.message().starts_with("HTTP/1.1 200 "));
+    // Refused at once: its class has no such budget left by then, whichever of the two is seen first.
+    client.write(with_budget(query_text("a" + std::to_string(i), "receipt-check"), "0m"));
+    served.clock.set(served.clock.now() + kIdleMs);
+    CHECK(client.message().starts_with("HTTP/1.1 503 "));
+  }
+}
+
 // STANDING: where lists are pushed, what the agent has counts as told from the first moment of a new process.
 TEST_CASE("a process whose agent has told it nothing sends nothing by the list that it remembers") {
   Port worker;
