--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -1,24 +1,12 @@
 // Clauses of the operators' pages at their limits, on real connections: docs/terms-audit.md names each.
-#include <poll.h>
-
-#include <array>
-#include <cstdio>
-
 #include "node_harness.hpp"
 
 namespace woadtide {
 namespace {
 
-using net::Socket;
-
 // Real time, for what must not come.
 constexpr int kNothingMs = 200;
 
-bool comes(const Socket& socket, int within_ms) {
-  pollfd one{socket.fd(), POLLIN, 0};
-  return ::poll(&one, 1, within_ms) > 0;
-}
-
 std::string with_budget(std::string request, const std::string& budget) {
   return request.replace(request.find("5000m"), 5, budget);
 }
--- a/tests/node_harness.hpp
+++ b/tests/node_harness.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <doctest/doctest.h>
+#include <poll.h>
 #include <sys/time.h>
 #include <unistd.h>
 
@@ -39,6 +40,12 @@
   }
 }
 
+// Whether something has come there, or a connection has.
+inline bool comes(const net::Socket& socket, int within_ms) {
+  pollfd one{socket.fd(), POLLIN, 0};
+  return ::poll(&one, 1, within_ms) > 0;
+}
+
 // One side of a link, reading and writing text.
 struct Peer {
   explicit Peer(net::Socket from) : socket(std::move(from)) {
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -27,11 +27,6 @@
 // As the dispatcher has it: a list is silent once two lines of discovery's, each due in 2 s, did not come.
 constexpr double kListSilenceMs = 4'000;
 
-bool comes(const net::Socket& socket, int within_ms) {
-  pollfd one{socket.fd(), POLLIN, 0};
-  return ::poll(&one, 1, within_ms) > 0;
-}
-
 std::string list_line(int seq, bool whole, Hosts hosts) {
   return nlohmann::json{{"seq", seq}, {"whole", whole}, {"hosts", std::move(hosts)}}.dump();
 }
