--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -46,6 +46,27 @@
   CHECK(client.message().ends_with("\r\n\r\ntwo"));
 }
 
+// The one behind a request that had waited comes when it comes.
+TEST_CASE(
+    "a request that came while its connection rested has all of its time, whatever waited there before") {
+  Port worker;
+  Served served(Hosts{host_json("w", worker.dial())});
+  Peer client = served.client();
+  client.write(query_text("a1", "receipt-check"));
+  Peer link = worker.accept();
+  link.message();
+  client.write(query_text("a2", "receipt-check"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));  // for the event loop to hear of it
+  for (const char* id : {"a1", "a2"}) {
+    link.write(done(id, id));
+    CHECK(client.message().ends_with(id));
+    if (std::string(id) == "a1") link.message();
+  }
+  served.clock.set(kNow + 4'000);
+  client.write(query_text("a3", "receipt-check"));
+  CHECK(link.message().find("X-Budget: 5000m") != std::string::npos);
+}
+
 // STANDING: requests that cross the end of a resting connection, whatever ends it.
 TEST_CASE("a request that comes as its resting connection's time ends is answered") {
   constexpr int kTimes = 20;
