Forget when bytes came once none wait on a connection

Cause: ClientLink::waiting_since_ was reset only by a read that found nothing left, and a read that ends with a whole request returns before. Now it is also forgotten behind an answer when no byte waits. Clients that send one request at a time were never touched: nothing comes while theirs is at work.

--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -204,7 +204,9 @@
   worked_ |= worked;
   if (closes) return links_.linger(*this);
   // A read may have brought less than had come, and the park tells of changes only.
-  const bool more = std::exchange(unheard_, false) || reader_.has_rest() || !socket_.quiet();
+  const bool bytes_wait = !socket_.quiet();
+  if (!bytes_wait) waiting_since_.reset();
+  const bool more = std::exchange(unheard_, false) || reader_.has_rest() || bytes_wait;
   links_.put(*this, worked_ ? ConnectionState::idle : ConnectionState::asked);
   side_.park.wake_at(token_, moved_ + side_.idle_ms);
   if (more) side_.park.poke(token_, {.readable = true});
