Drop the note of bytes that waited when they are read, not behind the answer

Traced: the note was dropped behind an answer if no byte waited then; a client that is quick, or a dispatcher that is held up between its write and that look, has its next request there already, and it was given the old note's time. Ruled out: the test (it sends only after the answer), the kernel's age of bytes (a standing clock has none). The note now goes when the request that holds the last waiting byte is whole.

--- a/src/net/client_link.cpp
+++ b/src/net/client_link.cpp
@@ -110,6 +110,8 @@
     if (reader_.came(got)) {
       // A connection may have waited to be accepted, and this process may have been held up.
       arrived_ = std::min(arrived_, side_.clock.ago(socket_.age_of_newest_bytes()));
+      // What comes from here on has not waited: also where it is there before sent() looks.
+      if (waiting_since_ && socket_.quiet()) waiting_since_.reset();
       return true;
     }
     if (reader_.wants_continue()) socket_.send_some({"HTTP/1.1 100 Continue\r\n\r\n"});
@@ -204,9 +206,7 @@
   worked_ |= worked;
   if (closes) return links_.linger(*this);
   // A read may have brought less than had come, and the park tells of changes only.
-  const bool bytes_wait = !socket_.quiet();
-  if (!bytes_wait) waiting_since_.reset();
-  const bool more = std::exchange(unheard_, false) || reader_.has_rest() || bytes_wait;
+  const bool more = std::exchange(unheard_, false) || reader_.has_rest() || !socket_.quiet();
   links_.put(*this, worked_ ? ConnectionState::idle : ConnectionState::asked);
   side_.park.wake_at(token_, moved_ + side_.idle_ms);
   if (more) side_.park.poke(token_, {.readable = true});
