Let the test of a crash under a running job wait until its worker has the job

Seen: ctest beside four busy processes and a sanitizer build, 441 of 442; this one failed with `in doubt` and no execution at the worker. Traced in its log: the process ended 5 ms after the job's 202, which comes once the job is on the disk, and before it was sent; what nobody can vouch for is in doubt, as designed. The test took for granted that the job had begun, as its name says. It now waits for that; its assertions are the same.

The product is not changed.

--- a/tests/jobs_test.cpp
+++ b/tests/jobs_test.cpp
@@ -211,6 +211,7 @@
   {
     Dispatcher dispatcher(bench);
     CHECK(has(dispatcher.put("k", "refund-payout", "pay", 5'000), " 202 "));
+    await([&] { return bench.worker->executions() == 1; });  // 202 comes before it is sent
   }
   Dispatcher next(bench);
   const std::string end = next.get("k");
