Choose the review's ports below those that the system gives out

Cause: a port found by binding to port 0 can be given to a connection before the dispatcher listens at it; in a probe of 40 dispatchers at once one could not start for that.

Change: free_port() draws from 10000 to 29999.

--- a/review/standin.hpp
+++ b/review/standin.hpp
@@ -99,11 +99,17 @@
     cannot_run("no port to listen on");
   return fd;
 }
-// A port that is free now.
+// A port that is free now, below those that the system gives to connections.
 inline int free_port() {
-  const int fd = listen_on(0), port = port_of(fd);
-  ::close(fd);
-  return port;
+  static std::random_device device;
+  for (;;) {
+    const int port = 10'000 + static_cast<int>(device() % 20'000);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    const bool is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(fd);
+    if (is_free) return port;
+  }
 }
 inline std::string address_of(int port) { return "127.0.0.1:" + std::to_string(port); }
 inline int connect_to(int port) {
