Log the number of timers beside the open queries

The log could not tell what is kept: open queries, queued messages or timers. The figures line now ends with the timers that are set.

--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -430,7 +430,8 @@
            answer_count(AnswerKind::failed) + " timed-out " + answer_count(AnswerKind::timed_out) + " bad " +
            answer_count(AnswerKind::bad_query) + " gone " + std::to_string(counts.client_disconnects) +
            " executions " + std::to_string(counts.executions) + " not-ok " +
-           std::to_string(counts.failed_executions) + " open " + std::to_string(open_queries_.size()));
+           std::to_string(counts.failed_executions) + " open " + std::to_string(open_queries_.size()) +
+           " timers " + std::to_string(timers_by_time_.size()));
 }
 
 }  // namespace woadtide::core
