Cancel a query's timers when it ends: refusals at full speed held memory for 8 s

Cause: no timer of the decision loop could be cancelled. Each accepted query left one until its X-Budget was over, each attempt one until the module's check of its start, each timeout of an attempt one until then, whatever had ended meanwhile: as many as the rate times the time.

Change: TimerQueue holds one timer per key and can cancel it; the loop cancels a query's and an execution's timers where these end. The module says by a new action, CancelTimer, when the check of a start is not needed; a timer of the same token replaces the earlier one. The simulator's wire has no such message: it gets the same messages as before. So timers are bounded by the open queries and their executions, which the links bound.

--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -218,7 +218,7 @@
     {"Fired", read_fired},       {"CheckResult", read_check_result},
 };
 
-// Writes an action as a message of the instance `who`.
+// Writes an action as a message of the instance `who`; null where the wire has no message for it.
 struct WriteAction {
   std::int64_t who;
   json operator()(const Send& action) const {
@@ -244,6 +244,8 @@
   json operator()(const SetTimer& action) const {
     return {{"op", "Timer"}, {"Who", who}, {"Cookie", action.token}, {"WhenUs", action.at.count()}};
   }
+  // The wire has no such message: the timer fires and has no effect.
+  json operator()(const CancelTimer&) const { return nullptr; }
   json operator()(const Log& action) const {
     return {{"op", "Remark"}, {"Who", who}, {"NoteText", action.text}};
   }
@@ -358,7 +360,9 @@
     if (!event) return;
     std::vector<Action> actions;
     found->second.dispatcher.handle(now, *event, actions);
-    for (const Action& action : actions) outbox.push_back(std::visit(WriteAction{who}, action));
+    for (const Action& action : actions)
+      if (json written = std::visit(WriteAction{who}, action); !written.is_null())
+        outbox.push_back(std::move(written));
   } catch (const MalformedLine&) {
     throw;
   } catch (const std::exception& error) {
--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -205,15 +205,21 @@
   std::string worker;
 };
 struct Watch {};  // subscribe to the list's changes
+// Pass a TimerFired at this time. Replaces an earlier timer of the same token; where the owner passes both,
+// the earlier one has no effect.
 struct SetTimer {
   std::string token;
   Micros at{0};
 };
+// What the timer was set for has ended. Where the owner lets it fire all the same, it has no effect.
+struct CancelTimer {
+  std::string token;
+};
 struct Log {
   std::string text;
 };
 
-using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, Watch, SetTimer, Log>;
+using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, Watch, SetTimer, CancelTimer, Log>;
 
 // listed: workers on the list, including draining ones. avoided: those of them to which nothing is sent now,
 // as an operator excluded them or they are ejected for all classes.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -483,10 +483,20 @@
     actions_->push_back(Send{job.request.id, worker.entry.worker, Micros{0}, not_after});
     if (!settings_.tells_start) return;
     const double check_after_s = std::max(2 * expected_wait_s(worker), seconds(job.threshold) / 4);
-    set_timer("start " + std::to_string(job.attempts.size() - 1) + ' ' + job.request.id,
+    set_timer(start_check_token(job.request.id, static_cast<int>(job.attempts.size()) - 1),
               seconds_to_micros(check_after_s));
   }
 
+  // Token of the timer that checks whether this attempt has started.
+  static std::string start_check_token(const std::string& id, int attempt) {
+    return "start " + std::to_string(attempt) + ' ' + id;
+  }
+
+  // The attempt has started or ended.
+  void cancel_start_check(const std::string& id, int attempt) {
+    if (settings_.tells_start) actions_->push_back(CancelTimer{start_check_token(id, attempt)});
+  }
+
   void refuse_or_fail(Job& job) {
     job.finished = true;
     if (!may_refuse(job)) return actions_->push_back(Fail{job.request.id});
@@ -501,6 +511,7 @@
     const auto item = workers_.find(attempt->worker);
     Worker& worker = item->second;
     attempt->outstanding = false;
+    if (!attempt->started_at) cancel_start_check(outcome.id, outcome.attempt);
     worker.attempts_out -= 1;
     worker.slots_out = worker.attempts_out == 0 ? 0 : worker.slots_out - job.request.slots;
     worker.work_out -= job.work;
@@ -561,6 +572,7 @@
     const auto [found, attempt] = find_outstanding(note.id, note.attempt);
     if (!attempt || attempt->started_at) return;
     attempt->started_at = now_;
+    cancel_start_check(note.id, note.attempt);
     Worker& worker = workers_.at(attempt->worker);
     health_of(worker, found->second).stalled = false;
     record_wait(worker, now_ - attempt->sent_at);
--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -40,9 +40,8 @@
     run_logging_exceptions([&] { std::visit([this](auto& received) { handle(received); }, message); });
   run_logging_exceptions([this] { fire_due_timers(); });
   if (clock_.now() - interval_start_ >= kCountsIntervalMs) log_interval_counts();
-  const double next =
-      timers_by_time_.empty() ? kCountsIntervalMs : timers_by_time_.begin()->first - clock_.now();
-  return std::clamp(next, 0.0, kCountsIntervalMs);
+  const std::optional<double> next_time = timers_.next_time();
+  return next_time ? std::clamp(*next_time - clock_.now(), 0.0, kCountsIntervalMs) : kCountsIntervalMs;
 }
 
 // An exception must not end the loop, or no client would get an answer any more. Where handling a message
@@ -56,15 +55,13 @@
 }
 
 void DecisionLoop::fire_due_timers() {
-  while (!timers_by_time_.empty() && timers_by_time_.begin()->first <= clock_.now()) {
-    const Timer timer = std::move(timers_by_time_.begin()->second);
-    timers_by_time_.erase(timers_by_time_.begin());
-    if (timer.attempt == kModuleTimer)
-      feed_module(woadtide::TimerFired{timer.name});
-    else if (timer.attempt == kQueryDeadline)
-      on_query_deadline(timer.name);
+  while (const std::optional<TimerKey> due = timers_.pop_due(clock_.now())) {
+    if (due->attempt == kModuleTimer)
+      feed_module(woadtide::TimerFired{due->name});
+    else if (due->attempt == kQueryDeadline)
+      on_query_deadline(due->name);
     else
-      time_out_execution({timer.name, timer.attempt});
+      time_out_execution({due->name, due->attempt});
   }
 }
 
@@ -92,7 +89,7 @@
                                             now,
                                             target_time,
                                             {}});
-  timers_by_time_.emplace(query.deadline, Timer{query.id, kQueryDeadline});
+  timers_.set({query.id, kQueryDeadline}, query.deadline);
   sibling_.send({SiblingMessage::Kind::query, query.id});
   woadtide::Request request;
   request.id = query.id;
@@ -266,8 +263,7 @@
   open.executions.push_back({now, true});
   interval_counts_.executions += 1;
   if (action.timeout.count() > 0)
-    timers_by_time_.emplace(std::min(now + to_ms(action.timeout), open.deadline),
-                            Timer{key.query, key.attempt});
+    timers_.set({key.query, key.attempt}, std::min(now + to_ms(action.timeout), open.deadline));
   const double not_after = action.not_after.count() > 0 ? to_ms(action.not_after) : Execution::kNoTimeLimit;
   executor_.start({key, action.worker, open.payload, open.deadline, not_after});
 }
@@ -293,7 +289,10 @@
 void DecisionLoop::carry_out(const woadtide::Probe& action) { executor_.probe(action.worker); }
 void DecisionLoop::carry_out(const woadtide::Watch&) { endpoint_source_.start_watch(); }
 void DecisionLoop::carry_out(const woadtide::SetTimer& action) {
-  timers_by_time_.emplace(to_ms(action.at), Timer{action.token, kModuleTimer});
+  timers_.set({action.token, kModuleTimer}, to_ms(action.at));
+}
+void DecisionLoop::carry_out(const woadtide::CancelTimer& action) {
+  timers_.cancel({action.token, kModuleTimer});
 }
 void DecisionLoop::carry_out(const woadtide::Log& action) { log_line("module: " + action.text); }
 
@@ -339,6 +338,7 @@
   const auto index = static_cast<std::size_t>(key.attempt);
   if (index >= open.executions.size() || !open.executions[index].pending) return;
   open.executions[index].pending = false;
+  timers_.cancel({key.query, key.attempt});
   if (status != Status::ok) interval_counts_.failed_executions += 1;
   if (!proves_not_run(status)) open.may_have_run = true;
   woadtide::Outcome outcome;
@@ -383,6 +383,7 @@
                   [](const ExecutionState& execution) { return execution.pending; }))
     return;
   if (found->second.may_have_run) replay_cache_.add(found->first);
+  timers_.cancel({id, kQueryDeadline});
   open_queries_.erase(found);
 }
 
@@ -431,7 +432,7 @@
            answer_count(AnswerKind::bad_query) + " gone " + std::to_string(counts.client_disconnects) +
            " executions " + std::to_string(counts.executions) + " not-ok " +
            std::to_string(counts.failed_executions) + " open " + std::to_string(open_queries_.size()) +
-           " timers " + std::to_string(timers_by_time_.size()));
+           " timers " + std::to_string(timers_.size()));
 }
 
 }  // namespace woadtide::core
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -17,6 +18,7 @@
 #include "core/figures.hpp"
 #include "core/inbox.hpp"
 #include "core/query.hpp"
+#include "core/timer_queue.hpp"
 #include "woadtide/balance.hpp"
 
 namespace woadtide::core {
@@ -35,6 +37,10 @@
   // most the interval of the log's counts. Logs exceptions instead of letting them out.
   double step();
 
+  // Number of timers that are set: at most one for each open query and each pending execution, and two for
+  // each timer of the module that a pending execution or the endpoint list needs.
+  std::size_t timer_count() const { return timers_.size(); }
+
  private:
   struct ExecutionState {
     double sent_at = 0;
@@ -49,11 +55,12 @@
     std::vector<ExecutionState> executions;
     bool may_have_run = false;  // an execution ended in a way that does not prove that it never ran
   };
-  struct Timer {
+  struct TimerKey {
     std::string name;  // the module's timer token, or a query's id
     int attempt = kModuleTimer;
+    auto operator<=>(const TimerKey&) const = default;
   };
-  static constexpr int kModuleTimer = -2, kQueryDeadline = -1;  // special values of Timer::attempt
+  static constexpr int kModuleTimer = -2, kQueryDeadline = -1;  // special values of TimerKey::attempt
   struct IntervalCounts {                                       // since the last line of counts in the log
     std::array<int, 5> answers{};                               // by AnswerKind
     int queries = 0, executions = 0, failed_executions = 0, client_disconnects = 0;
@@ -97,6 +104,7 @@
   void carry_out(const woadtide::Probe& action);
   void carry_out(const woadtide::Watch& action);
   void carry_out(const woadtide::SetTimer& action);
+  void carry_out(const woadtide::CancelTimer& action);
   void carry_out(const woadtide::Log& action);
 
   void exclude(const std::string& worker, bool excluded);
@@ -131,7 +139,7 @@
   ExecutionObserver* const observer_;  // may be null
   Queries open_queries_;
   ReplayCache replay_cache_;
-  std::multimap<double, Timer> timers_by_time_;
+  TimerQueue<TimerKey> timers_;
   std::set<std::string> excluded_workers_;  // by an operator; a new sibling process is told of them
   IntervalCounts interval_counts_;
   std::vector<ClassTotals> class_totals_;  // by class index
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -32,10 +32,12 @@
 };
 
 struct LoopFixture {
-  explicit LoopFixture(int workers) {
+  using SettingsEdit = std::function<void(Settings& settings)>;
+  explicit LoopFixture(int workers, const SettingsEdit& edit = {}) {
     EndpointEntries hosts;
     for (int i = 0; i < workers; ++i) hosts.push_back(endpoint_json("w" + std::to_string(i), "127.0.0.1:1"));
     Config config = read_config(config_json(hosts, "127.0.0.1:1"));
+    if (edit) edit(config.settings);
     clock.set(kStartTimeMs);
     loop.emplace(config.settings, config.class_names, config.seed, clock, inbox, environment, environment,
                  environment);
@@ -135,6 +137,37 @@
   CHECK(callback->answers[0].retry_after_ms <= 2'000);
 }
 
+// Guards the memory limit: each refused query once left a timer until its budget was over, so bad clients
+// that repeat a refused query at full speed drove the process over `memory_mb` within seconds.
+TEST_CASE("however many queries are refused within their budget, none of them leaves a timer") {
+  LoopFixture fixture(0);
+  const std::size_t timers_before = fixture.loop->timer_count();
+  for (int i = 0; i < 1'000; ++i)
+    CHECK(fixture.submit_new("q", "receipt-check", 8'000)->answers.at(0).kind == AnswerKind::refused);
+  CHECK(fixture.loop->timer_count() == timers_before);
+}
+
+// Guards the memory limit in the same way for queries that are sent: the timers of their deadlines, of their
+// clients' disconnects and of the module's checks whether a worker has started them.
+TEST_CASE("a query that was sent leaves no timer once it and its executions have ended") {
+  LoopFixture fixture(2, [](Settings& settings) { settings.tells_start = true; });
+  const std::size_t timers_before = fixture.loop->timer_count();
+  fixture.submit_new("served", "receipt-check");
+  CHECK(fixture.loop->timer_count() == timers_before + 2);
+  fixture.end(0, Status::ok, "x");
+  CHECK(fixture.loop->timer_count() == timers_before);
+  fixture.submit_new("started", "receipt-check");
+  fixture.deliver(ExecutionStarted{fixture.environment.started.at(1).key});
+  CHECK(fixture.loop->timer_count() == timers_before + 1);
+  fixture.end(1, Status::ok, "x");
+  const auto callback = fixture.submit_new("abandoned", "receipt-check");
+  fixture.deliver(ClientDisconnected{"abandoned", callback});
+  fixture.end(2, Status::not_started);
+  fixture.submit_new("failed", "refund-payout");
+  fixture.end(3, Status::reset);
+  CHECK(fixture.loop->timer_count() == timers_before);
+}
+
 TEST_CASE("queries of an unknown class or with an id in progress are rejected") {
   LoopFixture fixture(1);
   CHECK(fixture.submit_new("q", "no-such").get()->answers.at(0).kind == AnswerKind::bad_query);
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -142,6 +142,7 @@
   }
 
   void perform(int i, const SetTimer& action) { feed_later(action.at, i, TimerFired{action.token}); }
+  void perform(int, const CancelTimer&) {}  // lets it fire
   void perform(int, const Refuse& action) {
     current_totals().refused += 1;
     current_totals().refused_by_class[requests_.at(action.id).class_index] += 1;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -582,6 +582,27 @@
   EXPECT_NE(message([](Settings& s) { s.classes[1].stretch = -1; }).find("stretch"), std::string::npos);
 }
 
+// Guards the owner's memory: a timer for each attempt once stayed set for long after the attempt was over.
+TEST(StartCheck, TimerIsCancelledOnceTheAttemptHasStartedOrEnded) {
+  Driver d;
+  d.update_list({entry("w"), entry("v")});
+  const auto cancelled_token = [&d] {
+    for (const Action& action : d.last_actions)
+      if (const auto* cancel = std::get_if<CancelTimer>(&action)) return cancel->token;
+    return std::string();
+  };
+  d.request("a");
+  ASSERT_EQ(d.count<SetTimer>(d.last_actions), 1);
+  const std::string token = std::get<SetTimer>(d.last_actions.back()).token;
+  d.feed(JobStarted{"a", 0});
+  EXPECT_EQ(cancelled_token(), token);
+  d.finish("a");
+  EXPECT_EQ(cancelled_token(), "");
+  d.request("b");
+  d.finish("b");
+  EXPECT_EQ(cancelled_token(), "start 0 b");
+}
+
 TEST(Settings, DefaultsWork) {
   Settings s;
   ClassSettings c;
