Refuse to exclude more than 10,000 workers

An exclusion by an operator lasts until it is lifted, whether or not its worker is still listed; one for each replaced worker added up for as long as the process runs, in the decision loop and in the server links. At 10,000, more than any list has, a further one is answered with an error in one line; those in force stay in force and can be lifted.

Test: "so many workers may be excluded ..." in core_test; with the check taken out the 10,001st is answered with `done`.

--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 constexpr double kCountsIntervalMs = 10'000;  // between two lines of counts in the log
-}
+// Workers that are excluded by operators, listed or not: more than any list has.
+constexpr std::size_t kMaxExcludedWorkers = 10'000;
+}  // namespace
 
 DecisionLoop::DecisionLoop(woadtide::Settings settings, std::vector<std::string> class_names,
                            std::uint64_t seed, Clock& clock, Inbox& inbox, Executor& executor,
@@ -206,6 +208,8 @@
   const std::string& worker = message.worker;
   if (!module_.knows(worker)) return message.reply.set_value("error no worker has this id\n");
   const bool excluded = message.kind == OperatorCommand::Kind::exclude;
+  if (excluded && excluded_workers_.size() >= kMaxExcludedWorkers && !excluded_workers_.contains(worker))
+    return message.reply.set_value("error too many workers are excluded\n");
   exclude(worker, excluded);
   sibling_.send({excluded ? SiblingMessage::Kind::exclude : SiblingMessage::Kind::include, worker});
   message.reply.set_value("done\n");
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -309,6 +309,25 @@
   CHECK(fixture.environment.sibling_lists == std::vector<std::string>{"text"});
 }
 
+// Guards memory against exclusions of workers that are replaced for as long as the process runs.
+TEST_CASE("so many workers may be excluded, and a further one is refused with an error") {
+  LoopFixture fixture(1);
+  set_log_sink([](std::string_view) {});
+  for (int i = 0; i < 10'000; ++i)
+    fixture.deliver(SiblingMessageReceived{{SiblingMessage::Kind::exclude, "gone" + std::to_string(i)}});
+  const auto exclude = [&](const std::string& worker) {
+    OperatorCommand command{OperatorCommand::Kind::exclude, worker, {}};
+    auto answer = command.reply.get_future();
+    fixture.deliver(std::move(command));
+    return answer.get();
+  };
+  CHECK(exclude("w0") == "error too many workers are excluded\n");
+  CHECK(exclude("gone7") == "done\n");
+  fixture.deliver(SiblingMessageReceived{{SiblingMessage::Kind::include, "gone0"}});
+  CHECK(exclude("w0") == "done\n");
+  set_log_sink(nullptr);
+}
+
 TEST_CASE("open queries are answered when the process exits") {
   LoopFixture fixture(1);
   const auto callback = fixture.submit_new("q", "receipt-check");
