Bound what the module holds by a rate times a time, four records of it

- Abandoned attempts.
An attempt that timed out or was cancelled counted as load of its worker until its hinted end.
Now at most 64 a worker, as many as a limit has slots, and none longer than the deadline of its class.
- Samples of a sampling window: every answer of 3 s.
Now 1,024, drawn from the whole window (reservoir sampling).
- What is learned of kinds and zones, kept for ever under each name that discovery told.
Those without a worker are forgotten once 1,024 names are held, then each time their number has doubled.
- Exclusions lifted while the worker was not listed, kept until it came back.
Now 1,024, the one lifted first goes.

Dispatcher::state_sizes() counts them.

Tests: Bounds.* in module_test. Nothing here changes a decision below the bounds, but the end of an abandoned attempt that was hinted beyond its deadline.

--- a/include/woadtide/balance.hpp
+++ b/include/woadtide/balance.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -227,6 +228,15 @@
   int listed = 0, unavailable = 0;
 };
 
+// How much the module holds. All but the open jobs has a fixed bound for each worker or in all.
+struct StateSizes {
+  std::size_t open_jobs = 0;           // requests that are unanswered, or have attempts outstanding
+  std::size_t abandoned_attempts = 0;  // at all workers, until their jobs should be over
+  std::size_t latency_samples = 0;     // of the sampling windows of all workers
+  std::size_t learned_groups = 0;      // kinds and zones of workers of which something is learned
+  std::size_t exclusions = 0;          // of workers by an operator, with lifted ones of unlisted workers
+};
+
 class Dispatcher {
  public:
   // Throws as check() does. `seed` is that of the random numbers.
@@ -245,6 +255,9 @@
   // Counts the workers as of `now`.
   WorkerCounts worker_counts(Micros now) const;
 
+  // Counts what is held.
+  StateSizes state_sizes() const;
+
   // Slots of this dispatcher's outstanding attempts at all workers; exactly zero when none is outstanding.
   double slots_out() const;
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -7,8 +7,11 @@
 #include <limits>
 #include <map>
 #include <random>
+#include <set>
 #include <utility>
 
+#include "estimates/abandoned_attempts.hpp"
+#include "estimates/latency_window.hpp"
 #include "numbers.hpp"
 #include "subscription/list_subscription.hpp"
 
@@ -26,7 +29,8 @@
 constexpr double kInitialLimitSlotsOfAll = 8;
 constexpr std::size_t kMinSamplesForP95 = 20;  // with fewer samples the p95 is their maximum
 // A sampling window with fewer samples stays open for another update interval, up to this many.
-constexpr int kMinWindowSamples = 5, kMaxWindowIntervals = 3;
+constexpr std::size_t kMinWindowSamples = 5;
+constexpr int kMaxWindowIntervals = 3;
 constexpr double kEwmaWeight = 0.2;  // weight of a new observation in an exponential moving average
 constexpr Micros kFirstEjectionTime = kLimitUpdateInterval / 3;  // doubles with each further ejection
 // Failures in a row that eject a worker, and the ejections in a row after which the time no longer grows.
@@ -52,14 +56,19 @@
 constexpr double kColdLoadFraction = 0.5;
 // Moves to another worker earned by each request; few, as cancelled jobs may run on and add load.
 constexpr double kMovesPerRequest = 0.2;
+// Kinds, zones and pairs of them that something is learned of, before those without a worker are forgotten.
+constexpr std::size_t kMinGroupsToForget = 1024;
+// Exclusions that were lifted while the worker was not listed. One that is forgotten is no longer taken to be
+// cold when it comes back.
+constexpr std::ptrdiff_t kMaxLiftedExclusions = 1024;
 // Converts Settings::cross_zone_price into a delay: a price of 1 weighs as many latency thresholds of a job.
 constexpr double kCrossZoneThresholds = 3;
 
 // AIMD concurrency limit of this dispatcher at one worker.
 struct AimdLimiter {
   double limit_slots = kMinLimitSlots;
-  std::vector<double> latency_ratios;  // latency over threshold, since the last completed sampling window
-  bool overload_seen = false;          // an attempt timed out or was turned away, or a connect failed
+  LatencyWindow latency_ratios;  // latency over threshold, since the last completed sampling window
+  bool overload_seen = false;    // an attempt timed out or was turned away, or a connect failed
 };
 
 // What is known of all workers of one kind together.
@@ -79,12 +88,6 @@
   bool stalled = false;             // a job of this dispatcher did not start when it should have
 };
 
-// An attempt that is no longer awaited but still holds a slot of its worker: a cancellation or a time-out
-// does not stop the job there.
-struct AbandonedAttempt {
-  Micros expected_end{0}, work{0};
-};
-
 struct Worker {
   ListEntry entry;
   WorkerKind* kind = nullptr;
@@ -93,7 +96,7 @@
   int attempts_out = 0;
   double slots_out = 0, slots_started = 0;
   Micros work_out{0};
-  std::vector<AbandonedAttempt> abandoned;
+  AbandonedAttempts abandoned;
   AimdLimiter limiter;
   // Mean number of other dispatchers' jobs there, by its load reports; without reports it counts as full.
   double peer_jobs = kMaxLimitSlots;
@@ -172,6 +175,27 @@
     for (const ListEntry& entry : update.entries) update_worker(entry);
     if (update.kind != ListKind::changes)
       for (auto item = workers_.begin(); item != workers_.end();) erase_if_gone(item++);
+    if (learned_group_count() >= forget_groups_at_) forget_unused_groups();
+  }
+
+  std::size_t learned_group_count() const {
+    return kinds_.size() + usual_wait_s_.size() + connect_failures_.size();
+  }
+
+  // Forgets what was learned of kinds and zones that no worker has any more. The next time is when as many
+  // again have been added, so that the cost for each is constant.
+  void forget_unused_groups() {
+    std::set<std::string> kinds, zones;
+    std::set<std::pair<std::string, std::string>> zones_and_kinds;
+    for (const auto& [name, worker] : workers_) {
+      kinds.insert(worker.entry.kind);
+      zones.insert(worker.entry.zone);
+      zones_and_kinds.emplace(worker.entry.zone, worker.entry.kind);
+    }
+    std::erase_if(kinds_, [&](const auto& item) { return !kinds.contains(item.first); });
+    std::erase_if(connect_failures_, [&](const auto& item) { return !zones.contains(item.first); });
+    std::erase_if(usual_wait_s_, [&](const auto& item) { return !zones_and_kinds.contains(item.first); });
+    forget_groups_at_ = std::max(kMinGroupsToForget, 2 * learned_group_count());
   }
 
   // Forgets a worker that has left the list, once no attempt is outstanding there.
@@ -204,6 +228,17 @@
       exclusion->second.lifted_at = now_;
     if (const auto known = workers_.find(call.worker); known != workers_.end())
       reinstate_if_lifted(known->second);
+    forget_oldest_lifted_exclusion();
+  }
+
+  // A worker that has left the list may never come back.
+  void forget_oldest_lifted_exclusion() {
+    const auto is_lifted = [](const auto& item) { return item.second.lifted_at.has_value(); };
+    if (std::count_if(exclusions_.begin(), exclusions_.end(), is_lifted) <= kMaxLiftedExclusions) return;
+    exclusions_.erase(
+        std::min_element(exclusions_.begin(), exclusions_.end(), [&](const auto& a, const auto& b) {
+          return is_lifted(a) && (!is_lifted(b) || a.second.lifted_at < b.second.lifted_at);
+        }));
   }
 
   // Ends a lifted exclusion: the worker's failures are forgotten, and it counts as cold since its listed
@@ -236,6 +271,16 @@
     return counts;
   }
 
+  StateSizes state_sizes() const {
+    StateSizes sizes{
+        .open_jobs = jobs_.size(), .learned_groups = learned_group_count(), .exclusions = exclusions_.size()};
+    for (const auto& [name, worker] : workers_) {
+      sizes.abandoned_attempts += worker.abandoned.size();
+      sizes.latency_samples += worker.limiter.latency_ratios.size();
+    }
+    return sizes;
+  }
+
   bool knows(const std::string& worker) const {
     return workers_.contains(worker) || exclusions_.contains(worker);
   }
@@ -273,7 +318,7 @@
   // the limit by what it holds.
   void close_window_if_full(Worker& worker) {
     AimdLimiter& limiter = worker.limiter;
-    const bool enough_samples = std::ssize(limiter.latency_ratios) >= kMinWindowSamples;
+    const bool enough_samples = limiter.latency_ratios.size() >= kMinWindowSamples;
     if (!enough_samples && !limiter.overload_seen && ++worker.window_intervals < kMaxWindowIntervals) return;
     worker.sparse = !enough_samples;
     if (enough_samples || limiter.overload_seen) update_limit(limiter, worker.slots_out);
@@ -289,7 +334,7 @@
   // all dispatchers still refuse when hundreds of them overload a fleet. A job was not late for lack of
   // capacity where its worker has a free slot.
   void record_latency(Worker& worker, Attempt& attempt, double latency_ratio, bool has_free_slot = false) {
-    worker.limiter.latency_ratios.push_back(latency_ratio);
+    worker.limiter.latency_ratios.add(latency_ratio, random_);
     update_shared_limit(worker, attempt, latency_ratio > 1 && !has_free_slot);
   }
 
@@ -307,7 +352,7 @@
 
   // AIMD: multiplicative decrease on overload, additive increase while at least half of the limit is used.
   void update_limit(AimdLimiter& limiter, double slots) {
-    if (limiter.overload_seen || quantile(limiter.latency_ratios, 0.95, kMinSamplesForP95) > 1)
+    if (limiter.overload_seen || limiter.latency_ratios.quantile_of_samples(0.95, kMinSamplesForP95) > 1)
       limiter.limit_slots = std::floor(limiter.limit_slots * kLimitDecreaseFactor);
     else if (slots * 2 >= limiter.limit_slots)
       limiter.limit_slots += 1;
@@ -368,8 +413,7 @@
     const bool use_ejected = most_are_ejected(job);
     sparse_slots_out_ = slots_out(true);
     for (auto& [name, worker] : workers_) {
-      std::erase_if(worker.abandoned,
-                    [this](const AbandonedAttempt& attempt) { return attempt.expected_end <= now_; });
+      worker.abandoned.remove_ended(now_);
       if (!is_eligible(worker, job) || !has_room(worker, job)) continue;
       const std::optional<int> rank = rank_of(worker, job, use_ejected);
       if (!rank || *rank > best_rank) continue;
@@ -420,8 +464,7 @@
   double delay_score_s(const Worker& worker, const Job& job) {
     const double zone_thresholds =
         worker.entry.zone == settings_.zone ? 0 : settings_.cross_zone_price * kCrossZoneThresholds;
-    Micros work = worker.work_out + job.work;
-    for (const AbandonedAttempt& attempt : worker.abandoned) work += attempt.work;
+    const Micros work = worker.work_out + job.work + worker.abandoned.work();
     const double own_work_s = seconds(work) * slowdown_of(worker);
     const double delay_s =
         own_work_s + kQueueWaitFactor * expected_wait_s(worker) + zone_thresholds * seconds(job.threshold);
@@ -531,12 +574,14 @@
     erase_if_gone(item);
   }
 
-  // Keeps the attempt's work in the worker's load until it should be done; not where its class is stalled.
+  // Keeps the attempt's work in the worker's load until it should be done, for the deadline of its class at
+  // the longest: a client may hint any running time. Not where its class is stalled.
   void add_abandoned(Worker& worker, const Job& job, const Attempt& attempt) const {
     if (health_of(worker, job).stalled) return;
     const Micros begin = attempt.started_at.value_or(now_ + seconds_to_micros(expected_wait_s(worker)));
-    const Micros end = begin + seconds_to_micros(seconds(job.work) * slowdown_of(worker));
-    if (end > now_) worker.abandoned.push_back({end, job.work});
+    const Micros longest = class_of(job).deadline;
+    const double run_s = std::min(seconds(job.work) * slowdown_of(worker), seconds(longest));
+    worker.abandoned.add(now_, std::min(begin + seconds_to_micros(run_s), now_ + longest), job.work);
   }
 
   // The job of this id, and its attempt of this number; null where that is not outstanding.
@@ -842,7 +887,8 @@
   std::map<std::pair<std::string, std::string>, double> usual_wait_s_;  // by zone and kind
   std::map<std::string, WorkerKind> kinds_;
   std::map<std::string, int> connect_failures_;  // by zone, since a job last started there
-  double mean_slot_seconds_ = 0;                 // expected work times slots of a job, as a moving average
+  std::size_t forget_groups_at_ = kMinGroupsToForget;
+  double mean_slot_seconds_ = 0;  // expected work times slots of a job, as a moving average
 };
 
 Dispatcher::Dispatcher(Settings settings, std::uint64_t seed)
@@ -860,6 +906,8 @@
 
 WorkerCounts Dispatcher::worker_counts(Micros now) const { return state_->worker_counts(now); }
 
+StateSizes Dispatcher::state_sizes() const { return state_->state_sizes(); }
+
 double Dispatcher::slots_out() const { return state_->slots_out(false); }
 
 }  // namespace woadtide
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -1,6 +1,9 @@
 // Tests of limits, worker choice, health, list handling and settings of the dispatcher module.
+#include <random>
 #include <set>
 
+#include "estimates/abandoned_attempts.hpp"
+#include "estimates/latency_window.hpp"
 #include "harness.hpp"
 
 namespace woadtide {
@@ -603,6 +606,69 @@
   EXPECT_EQ(cancelled_token(), "start 0 b");
 }
 
+// Guards memory and the time of each decision: an abandoned attempt once counted for as long as its client
+// had hinted, and clients that hint days left as many of them as they sent requests.
+TEST(Bounds, AbandonedAttemptsAreFewAndEndWithTheDeadlineOfTheirClass) {
+  Driver d;
+  d.update_list({entry("w")});
+  for (int i = 0; i < 1'000; ++i) {
+    const std::string id = "j" + std::to_string(i);
+    ASSERT_EQ(d.request(id, 0, std::chrono::hours(24), 1, 20ms), "w");
+    d.finish(id, Status::cancelled, 0, true);
+  }
+  EXPECT_EQ(d.dispatcher.state_sizes().abandoned_attempts, AbandonedAttempts::kMaxAttempts);
+  d.advance(base_settings().classes[0].deadline);
+  d.run_job("later", 1ms);
+  EXPECT_EQ(d.dispatcher.state_sizes().abandoned_attempts, 0u);
+}
+
+// Guards memory: a sampling window once held every answer of 3 s.
+TEST(Bounds, SamplingWindowHoldsSoManySamplesAtTheMost) {
+  Driver d;
+  d.update_list({entry("w")});
+  for (int i = 0; i < 5'000; ++i) ASSERT_EQ(d.run_job("j" + std::to_string(i), 10us), "w");
+  EXPECT_EQ(d.dispatcher.state_sizes().latency_samples, LatencyWindow::kMaxSamples);
+}
+
+TEST(Bounds, SamplesOfAWindowThatIsFullAreDrawnFromAllOfIt) {
+  LatencyWindow window;
+  std::mt19937_64 random(7);
+  constexpr int kSamples = 20'000;
+  for (int i = 0; i < kSamples; ++i) window.add(static_cast<double>(i) / kSamples, random);
+  EXPECT_EQ(window.size(), LatencyWindow::kMaxSamples);
+  EXPECT_NEAR(window.quantile_of_samples(0.5, 1), 0.5, 0.08);  // five times the standard error
+  EXPECT_NEAR(window.quantile_of_samples(0.95, 1), 0.95, 0.035);
+  window.clear();
+  EXPECT_EQ(window.size(), 0u);
+}
+
+// Guards memory: what was learned of a zone or a kind was once kept for as long as the process runs.
+TEST(Bounds, KindsAndZonesWithoutWorkersAreForgottenWhenTheyAreMany) {
+  Driver d;
+  for (int i = 0; i < 5'000; ++i) {
+    ListEntry worker = entry("w" + std::to_string(i), "zone" + std::to_string(i));
+    worker.kind = "kind" + std::to_string(i);
+    d.update_list({worker});
+    ASSERT_LE(d.dispatcher.state_sizes().learned_groups, 1'024u);
+  }
+  EXPECT_EQ(d.request("j"), "w4999");
+}
+
+// Guards memory: an exclusion lifted while its worker was not listed was once kept for ever.
+TEST(Bounds, LiftedExclusionsOfUnlistedWorkersAreForgottenOldestFirst) {
+  Driver d;
+  d.feed(Exclude{"held"});
+  for (int i = 0; i < 3'000; ++i) {
+    d.advance(1ms);
+    d.feed(Exclude{"w" + std::to_string(i)});
+    d.feed(Include{"w" + std::to_string(i)});
+  }
+  EXPECT_EQ(d.dispatcher.state_sizes().exclusions, 1'025u);
+  EXPECT_TRUE(d.dispatcher.knows("held"));
+  EXPECT_TRUE(d.dispatcher.knows("w2999"));
+  EXPECT_FALSE(d.dispatcher.knows("w0"));
+}
+
 TEST(Settings, DefaultsWork) {
   Settings s;
   ClassSettings c;
