Bound what waits between two processes of a hot restart, and cut neither off

What operators would see: during a hot restart a process that is held up for a third of a second, or that reads slower than lists and ids come, is cut off by the other (2 MB waiting, or a send that blocks for 0.3 s), and goes on without the exclusions and drains told from then on. On the other side the messages of a sibling filled the inbox as fast as they came.

The outbox held every message since the last send, whole lists among them.

Change: SiblingOutbox holds what the sibling needs, the newest list, the newest command for each worker, the newest readiness and as many of the newest ids as the sibling remembers. What it leaves out would have had no effect, so nobody is cut off for reading slowly: a send that times out goes on, but while this process ends. The reader reads on when the decision loop has taken what it read before; the kernel's buffer and the outbox hold the rest, and no message is lost.

--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -119,7 +119,7 @@
 void DecisionLoop::ReplayCache::add(const std::string& id) {
   if (!ids_.insert(id).second) return;
   oldest_first_.push_back(id);
-  if (oldest_first_.size() <= kMaxIds) return;
+  if (oldest_first_.size() <= kMaxRememberedIds) return;
   ids_.erase(oldest_first_.front());
   oldest_first_.pop_front();
 }
--- a/src/core/decision_loop.hpp
+++ b/src/core/decision_loop.hpp
@@ -78,7 +78,6 @@
     const std::deque<std::string>& ids_oldest_first() const { return oldest_first_; }
 
    private:
-    static constexpr std::size_t kMaxIds = 8192;  // several minutes of peak traffic, about 1 MB
     std::unordered_set<std::string> ids_;
     std::deque<std::string> oldest_first_;
   };
--- a/src/core/inbox.hpp
+++ b/src/core/inbox.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <condition_variable>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <future>
@@ -102,14 +103,17 @@
   // of.
   enum class Notify { now, with_next };
 
-  // Adds a message. Each link has at most one query and one ending queued, so the number of links bounds the
-  // queue.
-  void push(Message message, Notify notify = Notify::now) {
+  // Adds a message and returns its position, for wait_until_taken(). Each link has at most one query and one
+  // ending queued, and each sibling process one read of messages, so their numbers bound the queue.
+  std::uint64_t push(Message message, Notify notify = Notify::now) {
+    std::uint64_t position = 0;
     {
       const std::lock_guard lock(mutex_);
       messages_.push_back(std::move(message));
+      position = ++added_count_;
     }
     if (notify == Notify::now) notify_consumer();
+    return position;
   }
   // Adds a message that may get lost: it is dropped where the queue is so long that a peer must be flooding
   // this process.
@@ -118,14 +122,24 @@
       const std::lock_guard lock(mutex_);
       if (messages_.size() >= kMaxMessagesForHints) return;
       messages_.push_back(std::move(message));
+      added_count_ += 1;
     }
     if (notify == Notify::now) notify_consumer();
   }
   // Removes and returns all messages, oldest first.
   std::deque<Message> take_all() {
     const std::lock_guard lock(mutex_);
+    taken_count_ = added_count_;
+    messages_taken_.notify_all();
     return std::exchange(messages_, {});
   }
+  // For a producer that has to wait for the consumer, never for the consumer itself: blocks until the message
+  // at `position` has been taken, for `ms` milliseconds at most. Returns whether it has.
+  bool wait_until_taken(std::uint64_t position, double ms) {
+    std::unique_lock lock(mutex_);
+    return messages_taken_.wait_for(lock, std::chrono::duration<double, std::milli>(ms),
+                                    [&] { return taken_count_ >= position; });
+  }
   // For a consumer without a notifier that waits for nothing else: blocks until a message is there, for `ms`
   // milliseconds at most.
   void wait_for_message(double ms) {
@@ -143,8 +157,9 @@
   std::shared_mutex notifier_mutex_;  // held shared during a call, so that set_notifier() waits for its end
   std::function<void()> notifier_;
   std::mutex mutex_;
-  std::condition_variable message_added_;
+  std::condition_variable message_added_, messages_taken_;
   std::deque<Message> messages_;
+  std::uint64_t added_count_ = 0, taken_count_ = 0;
 };
 
 }  // namespace woadtide::core
--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -20,11 +20,10 @@
 
 namespace {
 
-constexpr std::size_t kMaxOutboxBytes = 2'000'000;  // more than all ids that a process remembers
 constexpr std::size_t kMaxSiblings = 3;
-constexpr std::array<std::string_view, 7> kMessageNames = {"exclude", "include", "query", "told",
-                                                           "ready",   "unready", "list"};
-constexpr std::string_view kVersionMessage = "version";
+// How long one send to a sibling that does not read may block; also the delay of this process's end by it.
+constexpr timeval kSendTimeout{0, 300'000};
+constexpr double kStopCheckIntervalMs = 50;  // of a reader that waits for the decision loop
 
 }  // namespace
 
@@ -107,12 +106,10 @@
     if (siblings_.size() == kMaxSiblings) return;
     Sibling& sibling = siblings_.emplace_back();
     sibling.socket = std::move(socket);
-    sibling.outbox =
-        std::string(kVersionMessage) + ' ' + std::to_string(core::kSiblingProtocolVersion) + '\n';
+    sibling.outbox.add_version(core::kSiblingProtocolVersion);
     if (accepts_clients_) enqueue(sibling, {SiblingMessage::Kind::ready});
     alone_ = false;
-    const timeval send_timeout{0, 300'000};  // for a process that does not read, for example a stopped one
-    ::setsockopt(sibling.socket.fd(), SOL_SOCKET, SO_SNDTIMEO, &send_timeout, sizeof send_timeout);
+    ::setsockopt(sibling.socket.fd(), SOL_SOCKET, SO_SNDTIMEO, &kSendTimeout, sizeof kSendTimeout);
     sibling.writer = park::Thread("kin-writer", [this, &sibling] { write_messages(sibling); });
     sibling.reader = park::Thread("kin-reader", [this, &sibling] { read_messages(sibling); });
   }
@@ -134,6 +131,7 @@
     for (std::size_t end; (end = received.find('\n', line_start)) != std::string::npos; line_start = end + 1)
       handle_line(sibling, received.substr(line_start, end - line_start));
     received.erase(0, line_start);
+    wait_for_decision_loop(sibling);
   }
   {
     const std::lock_guard lock(mutex_);
@@ -152,32 +150,39 @@
 void HotRestart::write_messages(Sibling& sibling) {
   std::unique_lock lock(mutex_);
   while (!sibling.closed) {
-    sibling.wakeup.wait(lock, [&] { return sibling.closed || stopping_ || !sibling.outbox.empty(); });
-    if (sibling.outbox.empty()) break;
-    const std::string batch = std::exchange(sibling.outbox, {});
+    sibling.wakeup.wait(lock, [&] { return sibling.closed || stopping_ || !sibling.outbox.is_empty(); });
+    if (sibling.outbox.is_empty()) break;
+    const std::string lines = sibling.outbox.take_lines();
     lock.unlock();
-    for (std::size_t sent = 0; sent < batch.size();) {
-      const ssize_t count =
-          ::send(sibling.socket.fd(), batch.data() + sent, batch.size() - sent, MSG_NOSIGNAL);
-      if (count < 0 && errno == EINTR) continue;
-      if (count <= 0) {  // the reader handles the end
-        sibling.socket.shut_down();
-        break;
-      }
-      sent += static_cast<std::size_t>(count);
-    }
+    if (!send_all(sibling, lines)) sibling.socket.shut_down();  // the reader handles the end
     lock.lock();
   }
 }
 
+// A sibling that does not read for a while, for example a stopped process, gets the newest state once it
+// does: the outbox is bounded. Only where this process ends, what cannot be sent within the timeout is given
+// up.
+bool HotRestart::send_all(const Sibling& sibling, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t count = ::send(sibling.socket.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (count > 0) {
+      bytes.remove_prefix(static_cast<std::size_t>(count));
+      continue;
+    }
+    const bool may_go_on = errno == EINTR || (errno == EAGAIN && !stopping_);
+    if (count == 0 || !may_go_on) return false;
+  }
+  return true;
+}
+
 void HotRestart::handle_line(Sibling& sibling, const std::string& line) {
   const std::size_t space = std::min(line.find(' '), line.size());
-  if (line.substr(0, space) == kVersionMessage)
+  if (line.substr(0, space) == core::kSiblingVersionName)
     return check_version(sibling, line.substr(std::min(space + 1, line.size())));
-  const auto name =
-      std::find(kMessageNames.begin(), kMessageNames.end(), std::string_view(line).substr(0, space));
-  if (name == kMessageNames.end()) return;  // a message of another protocol version
-  SiblingMessage message{static_cast<SiblingMessage::Kind>(name - kMessageNames.begin()),
+  const auto& names = core::kSiblingMessageNames;
+  const auto name = std::find(names.begin(), names.end(), std::string_view(line).substr(0, space));
+  if (name == names.end()) return;  // a message of another protocol version
+  SiblingMessage message{static_cast<SiblingMessage::Kind>(name - names.begin()),
                          line.substr(std::min(space + 1, line.size()))};
   std::unique_lock lock(mutex_);
   switch (message.kind) {
@@ -199,7 +204,14 @@
   for (Sibling& other : siblings_)
     if (&other != &sibling) enqueue(other, message);
   lock.unlock();
-  inbox_.push(core::SiblingMessageReceived{std::move(message)});
+  sibling.last_queued = inbox_.push(core::SiblingMessageReceived{std::move(message)});
+}
+
+// Reads on only when the decision loop has taken what was read before: a sibling that sends faster than the
+// loop handles must not fill the inbox. The kernel's buffer and the sibling's outbox hold the rest.
+void HotRestart::wait_for_decision_loop(const Sibling& sibling) {
+  while (!stopping_ && !inbox_.wait_until_taken(sibling.last_queued, kStopCheckIntervalMs)) {
+  }
 }
 
 // A sibling that sends no version has protocol version 1. With versions more than one apart neither process
@@ -219,11 +231,7 @@
 
 void HotRestart::enqueue(Sibling& sibling, const SiblingMessage& message) {
   if (sibling.closed) return;
-  if (sibling.outbox.size() > kMaxOutboxBytes)
-    return sibling.socket.shut_down();  // it does not read: treated as closed
-  sibling.outbox.append(kMessageNames[static_cast<std::size_t>(message.kind)]);
-  if (!message.content.empty()) sibling.outbox.append(" ").append(message.content);
-  sibling.outbox.push_back('\n');
+  sibling.outbox.add(message);
   sibling.wakeup.notify_all();
 }
 
--- a/src/net/succession.hpp
+++ b/src/net/succession.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -13,6 +14,7 @@
 
 #include "core/inbox.hpp"
 #include "core/kin.hpp"
+#include "net/sibling_outbox.hpp"
 #include "net/socket.hpp"
 #include "park/park.hpp"
 
@@ -52,16 +54,19 @@
     bool accepts_clients = false, initial_state_received = false, closed = false;
     bool incompatible = false;  // protocol versions differ by more than one
     int version = 1;
-    std::string outbox;  // bytes to be sent
+    SiblingOutbox outbox;
     std::condition_variable wakeup;
-    park::Thread reader, writer;  // last: they use all other members
+    std::uint64_t last_queued = 0;  // position in the inbox of its newest message; used by the reader only
+    park::Thread reader, writer;    // last: they use all other members
   };
 
   void on_ready(park::ReadinessEvents events) override;
   void on_timeout() override { on_ready({}); }
   void add_sibling(Socket socket);
   void read_messages(Sibling& sibling);
+  void wait_for_decision_loop(const Sibling& sibling);
   void write_messages(Sibling& sibling);
+  bool send_all(const Sibling& sibling, std::string_view bytes);
   void handle_line(Sibling& sibling, const std::string& line);
   void check_version(Sibling& sibling, const std::string& version_text);
   void enqueue(Sibling& sibling, const core::SiblingMessage& message);
--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -156,6 +156,63 @@
   await(old_inbox, 1);
 }
 
+// One HotRestart without a decision loop behind its inbox, and a scripted sibling process.
+struct ScriptedSibling {
+  ScriptedSibling() {
+    restart.join_siblings(processes.folder, "s", 0);
+    REQUIRE(net::UnixSocketPath(processes.folder, "s").call(::connect, peer.socket));
+    restart.set_accepts_clients(true);
+    wait_until([this] { return !restart.has_no_sibling(); });
+  }
+
+  TwoProcesses processes;
+  core::Inbox inbox;
+  park::EventLoop event_loop{processes.clock};
+  net::HotRestart restart{processes.clock, inbox, event_loop, [](std::size_t) {}};
+  Peer peer{net::make_unix_socket()};
+};
+
+// Guards exclusions in a hot restart: a process that was held up while lists or ids came fast was once cut
+// off, and went on with a worker that an operator had excluded.
+TEST_CASE("a sibling process that does not read for a while gets the newest state once it does") {
+  ScriptedSibling sibling;
+  const std::string list(300'000, 'x');
+  for (int i = 0; i < 20; ++i)
+    sibling.restart.send({core::SiblingMessage::Kind::list, list + std::to_string(i)});
+  sibling.restart.send({core::SiblingMessage::Kind::exclude, "w"});
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));  // more than twice the timeout of a send
+  while (!contains(sibling.peer.received, "exclude w\n")) REQUIRE(sibling.peer.read_some());
+  CHECK(contains(sibling.peer.received, list + "19\n"));
+  CHECK(sibling.peer.received.size() < 4 * list.size());
+}
+
+// Guards memory: messages of a sibling that came faster than the decision loop handles them once filled the
+// inbox.
+TEST_CASE(
+    "messages of a sibling wait outside the inbox while the decision loop is held up, and none is lost") {
+  constexpr int kMessages = 50'000;
+  ScriptedSibling sibling;
+  std::thread sender([&] {
+    std::string lines;
+    for (int i = 0; i < kMessages; ++i) lines += "query " + std::to_string(i) + "\n";
+    sibling.peer.write(lines);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  int received = 0;
+  std::size_t most_queued = 0;
+  wait_until([&] {
+    const auto messages = sibling.inbox.take_all();
+    most_queued = std::max(most_queued, messages.size());
+    for (const core::Message& message : messages)
+      if (const auto* query = std::get_if<core::SiblingMessageReceived>(&message))
+        received += query->message.content == std::to_string(received) ? 1 : kMessages;
+    return received >= kMessages;
+  });
+  sender.join();
+  CHECK(received == kMessages);
+  CHECK(most_queued < core::Inbox::kMaxMessagesForHints);
+}
+
 TEST_CASE("two processes share one budget") {
   for (const std::size_t allowed : {128, 256, 1024})
     for (const std::size_t memory_mb : {16, 32, 192}) {
