Tell a sibling process of a query when it is sent to a worker, not when it is taken

What callers could see: in a hot restart each process remembers 8,192 ids that it must not run. A process told the other every query that it took, refused ones too. A refused query, which never ran, was rejected there.

Cause: the id went out with the query's arrival, at the rate of the clients. It now goes out right before the first execution, at the rate of the workers; the module decides in the same call, so nothing that may run goes untold.

Test: "a sibling process gets the id of a query once ..." in core_test; on the code before the refused query's id was sent as well.

--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -92,7 +92,6 @@
                                             target_time,
                                             {}});
   timers_.set({query.id, kQueryDeadline}, query.deadline);
-  sibling_.send({SiblingMessage::Kind::query, query.id});
   woadtide::Request request;
   request.id = query.id;
   request.class_index = class_index;
@@ -189,7 +188,8 @@
 void DecisionLoop::handle(SiblingJoined&) {
   sibling_.send({SiblingMessage::Kind::list, endpoint_source_.serialized_list()});
   for (const std::string& worker : excluded_workers_) sibling_.send({SiblingMessage::Kind::exclude, worker});
-  for (const auto& [id, open] : open_queries_) sibling_.send({SiblingMessage::Kind::query, id});
+  for (const auto& [id, open] : open_queries_)
+    if (!open.executions.empty()) sibling_.send({SiblingMessage::Kind::query, id});
   for (const std::string& id : replay_cache_.ids_oldest_first())
     sibling_.send({SiblingMessage::Kind::query, id});
   sibling_.send({SiblingMessage::Kind::told});
@@ -266,6 +266,8 @@
   const double now = clock_.now();
   open.executions.push_back({now, true});
   interval_counts_.executions += 1;
+  // Before the first execution can begin: from here on the query must not run at the sibling process.
+  if (key.attempt == 0) sibling_.send({SiblingMessage::Kind::query, key.query});
   if (action.timeout.count() > 0)
     timers_.set({key.query, key.attempt}, std::min(now + to_ms(action.timeout), open.deadline));
   const double not_after = action.not_after.count() > 0 ? to_ms(action.not_after) : Execution::kNoTimeLimit;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -309,6 +309,21 @@
   CHECK(fixture.environment.sibling_lists == std::vector<std::string>{"text"});
 }
 
+// Guards payouts against a second run in a hot restart: each refused query was once sent to the sibling too,
+// and a flood of them displaced there the ids of queries that may have run.
+TEST_CASE("a sibling process gets the id of a query once, when it is sent to a worker, and no refused one") {
+  LoopFixture fixture(2);
+  fixture.submit_new("p", "refund-payout");
+  fixture.end(0, Status::connect_failed);
+  REQUIRE(fixture.environment.started.size() == 2);
+  std::vector<std::string> ids;
+  for (const SiblingMessage& message : fixture.environment.sent) ids.push_back(message.content);
+  CHECK(ids == std::vector<std::string>{"p"});
+  LoopFixture without_workers(0);
+  without_workers.submit_new("r", "refund-payout");
+  CHECK(without_workers.environment.sent.empty());
+}
+
 // Guards memory against exclusions of workers that are replaced for as long as the process runs.
 TEST_CASE("so many workers may be excluded, and a further one is refused with an error") {
   LoopFixture fixture(1);
