Give up an execution whose client has left at the deadline of its class

What grows: an execution that has begun is awaited after its client left, until the client's X-Budget is over, which may be 11 days. At workers that hang, clients that ask for that and leave hold a server link and the query's buffers each; with all links held nothing is sent any more.

Cause: the bound on that time was the client's, though nobody waits.

Change: when a query's client has its answer or has gone, its deadline is that of its class at the latest. The outcome of a usual attempt is heard as before; no caller waits for one that is given up.

Test: "an execution whose client has left is given up ..." in core_test; on the code before nothing was cancelled and 3 timers were left for 2.

--- a/src/core/decision_loop.cpp
+++ b/src/core/decision_loop.cpp
@@ -326,6 +326,11 @@
   if (!reply_callback) return nullptr;
   for (std::size_t i = 0; i < open.executions.size(); ++i)
     if (open.executions[i].pending) executor_.withdraw({id, static_cast<int>(i)});
+  // An execution that has begun is still awaited for its outcome, but not as long as a client may have asked
+  // for: it holds a link and the query's buffers.
+  const double class_deadline_ms = to_ms(class_settings_[open.class_index].deadline);
+  open.deadline = std::min(open.deadline, open.received_at + class_deadline_ms);
+  timers_.set({id, kQueryDeadline}, open.deadline);
   return reply_callback;
 }
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -128,6 +128,22 @@
   CHECK(fixture.environment.started.size() == 3);
 }
 
+// Guards links and buffers: clients that ask for days of time and leave once held a link for each request.
+TEST_CASE(
+    "an execution whose client has left is given up at the deadline of its class, whatever its budget") {
+  LoopFixture fixture(1);
+  const std::size_t timers_before = fixture.loop->timer_count();
+  const auto callback = fixture.submit_new("q", "receipt-check", 1e9);
+  fixture.advance(1'000);
+  fixture.deliver(ClientDisconnected{"q", callback});
+  fixture.advance(6'999);
+  CHECK(fixture.environment.cancelled.empty());
+  fixture.advance(1);
+  CHECK(fixture.environment.cancelled == std::vector<ExecutionKey>{{"q", 0}});
+  CHECK(fixture.loop->timer_count() == timers_before);
+  CHECK(callback->answers.empty());
+}
+
 TEST_CASE("a refusal is sent at once with the time after which to retry") {
   LoopFixture fixture(0);
   const auto callback = fixture.submit_new("q", "refund-payout");
