Keep a process findable when the new process of a hot restart has died

Cause: the new process puts its socket file in place of the old one's. When it dies, the file leads nowhere, and the old process listens on a socket without a name: the next process finds nobody and knows of no exclusion.

Ruled out: that the exclusion was lost on the way.

Change: HotRestart::keep_reachable, when a sibling has ended and once a second without one, takes the place of a dead process at the file, and connects to a living one that took it without finding this one.

Tests: "after the new process of a hot restart has died ..." and "a process whose place another one has taken unseen ..."; both time out with the look taken out.

--- a/src/net/succession.cpp
+++ b/src/net/succession.cpp
@@ -1,5 +1,6 @@
 #include "net/succession.hpp"
 
+#include <fcntl.h>
 #include <sys/time.h>
 #include <unistd.h>
 
@@ -24,6 +25,7 @@
 // How long one send to a sibling that does not read may block; also the delay of this process's end by it.
 constexpr timeval kSendTimeout{0, 300'000};
 constexpr double kStopCheckIntervalMs = 50;  // of a reader that waits for the decision loop
+constexpr double kReachableCheckIntervalMs = 1'000;
 
 }  // namespace
 
@@ -36,7 +38,12 @@
 // Queued messages are sent before the connection ends: an operator may have been told `done` for them.
 void HotRestart::leave_siblings() {
   stopping_ = true;
-  event_loop_.remove(token_);
+  park::EventLoop::Token token = park::EventLoop::kNoToken;
+  {
+    const std::lock_guard lock(mutex_);
+    token = token_;
+  }
+  event_loop_.remove(token);
   event_loop_.quiesce();
   std::list<Sibling> closed;
   {
@@ -53,19 +60,16 @@
 // Connects to the current listener first, then replaces its socket file: the rename leaves no moment without
 // a listener.
 void HotRestart::join_siblings(const std::string& folder, const std::string& name, double wait_ms) {
+  meeting_point_.emplace(folder, name);
   Socket connection = make_unix_socket();
-  const UnixSocketPath socket_path(folder, name),
-      temporary_path(folder, name + '.' + std::to_string(::getpid()));
-  if (connection && socket_path.call(::connect, connection) && peer_pid(connection) > 0) {
-    core::log_line("upgrade: another process of this dispatcher runs");
-    add_sibling(std::move(connection));
+  if (connection && meeting_point_->socket_path.call(::connect, connection)) {
+    if (const int pid = peer_pid(connection); pid > 0) {
+      core::log_line("upgrade: another process of this dispatcher runs");
+      add_sibling(std::move(connection), pid);
+    }
   }
-  listener_ = listen_replacing(socket_path, temporary_path);
-  if (listener_) {
-    token_ = event_loop_.add(*this, listener_.fd());
-  } else {
+  if (!listen_at_meeting_point())
     core::log_line("upgrade: no next process can find this one: " + std::generic_category().message(errno));
-  }
   std::unique_lock lock(mutex_);
   const bool synchronized =
       sibling_changed_.wait_for(lock, std::chrono::duration<double, std::milli>(wait_ms), [this] {
@@ -81,7 +85,66 @@
   if (!synchronized) core::log_line("upgrade: the other process tells nothing; going on without");
 }
 
+HotRestart::MeetingPoint::MeetingPoint(const std::string& folder, const std::string& name)
+    : socket_path(folder, name), temporary_path(folder, name + '.' + std::to_string(::getpid())) {}
+
+// Puts a socket of this process at the meeting point, in place of the one that is there. False, with the
+// reason in errno, if that fails; then nothing has changed.
+bool HotRestart::listen_at_meeting_point() {
+  Socket listener = listen_replacing(meeting_point_->socket_path, meeting_point_->temporary_path);
+  if (!listener) return false;
+  const std::lock_guard lock(mutex_);
+  if (stopping_) return true;
+  event_loop_.remove(token_);
+  listener_ = std::move(listener);
+  listener_file_ = file_identity(meeting_point_->socket_path.path);
+  token_ = event_loop_.add(*this, listener_.fd());
+  event_loop_.set_timeout(token_, clock_.now() + kReachableCheckIntervalMs);
+  return true;
+}
+
 void HotRestart::on_ready(park::ReadinessEvents) {
+  accept_siblings();
+  keep_reachable();
+}
+
+void HotRestart::on_timeout() {
+  event_loop_.set_timeout(token_, clock_.now() + kReachableCheckIntervalMs);
+  accept_siblings();
+  keep_reachable();
+}
+
+// A process that started later holds the meeting point. Once it has ended, its socket file would lead the
+// next process nowhere, and that one would know of no exclusion and of no query in progress here. Where yet
+// another process has taken the meeting point meanwhile without finding this one, the two are connected.
+void HotRestart::keep_reachable() {
+  if (const bool ended = sibling_ended_.exchange(false); stopping_ || !(ended || alone_)) return;
+  if (file_identity(meeting_point_->socket_path.path) == listener_file_) return;
+  Socket connection = make_unix_socket();
+  if (!connection) return;
+  ::fcntl(connection.fd(), F_SETFL, O_NONBLOCK);  // the queue of a process that is held up may be full
+  if (!meeting_point_->socket_path.call(::connect, connection)) {
+    if (errno != ECONNREFUSED && errno != ENOENT) return;
+    core::log_line(listen_at_meeting_point()
+                       ? std::string("upgrade: the next process will find this one again")
+                       : "upgrade: no next process can find this one: " +
+                             std::generic_category().message(errno));
+    return;
+  }
+  const int pid = peer_pid(connection);
+  if (pid <= 0 || pid == ::getpid() || is_connected_to(pid)) return;
+  ::fcntl(connection.fd(), F_SETFL, 0);
+  core::log_line("upgrade: another process of this dispatcher runs");
+  add_sibling(std::move(connection), pid);
+}
+
+bool HotRestart::is_connected_to(int pid) {
+  const std::lock_guard lock(mutex_);
+  return std::any_of(siblings_.begin(), siblings_.end(),
+                     [pid](const Sibling& sibling) { return !sibling.closed && sibling.pid == pid; });
+}
+
+void HotRestart::accept_siblings() {
   while (!stopping_) {
     Socket connection{Fd(::accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC))};
     if (!connection) {
@@ -96,16 +159,17 @@
       return;
     }
     remove_closed();
-    if (peer_pid(connection) > 0) add_sibling(std::move(connection));
+    if (const int pid = peer_pid(connection); pid > 0) add_sibling(std::move(connection), pid);
   }
 }
 
-void HotRestart::add_sibling(Socket socket) {
+void HotRestart::add_sibling(Socket socket, int pid) {
   {
     const std::lock_guard lock(mutex_);
     if (siblings_.size() == kMaxSiblings) return;
     Sibling& sibling = siblings_.emplace_back();
     sibling.socket = std::move(socket);
+    sibling.pid = pid;
     sibling.outbox.add_version(core::kSiblingProtocolVersion);
     if (accepts_clients_) enqueue(sibling, {SiblingMessage::Kind::ready});
     alone_ = false;
@@ -138,6 +202,8 @@
     sibling.closed = true;
     sibling.accepts_clients = false;
     alone_ = std::all_of(siblings_.begin(), siblings_.end(), [](const Sibling& s) { return s.closed; });
+    sibling_ended_ = true;
+    event_loop_.wake(token_, {.readable = true});
     sibling.wakeup.notify_all();
     sibling_changed_.notify_all();
   }
--- a/src/net/succession.hpp
+++ b/src/net/succession.hpp
@@ -2,6 +2,9 @@
 // starts while the old one runs. They meet at a Unix socket in a shared folder and exchange state as long as
 // the connection between them lasts. The kernel closes it for a process that was killed too, and refuses a
 // connect to the socket file that such a process left behind.
+//
+// Invariant: while a process lives, the next one finds it at the socket file, or one that it is connected to.
+// The newest process holds the file; when that one ends, another takes it over.
 #pragma once
 
 #include <atomic>
@@ -10,12 +13,14 @@
 #include <functional>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "core/inbox.hpp"
 #include "core/kin.hpp"
 #include "net/sibling_outbox.hpp"
 #include "net/socket.hpp"
+#include "net/unix_socket.hpp"
 #include "park/park.hpp"
 
 namespace woadtide::net {
@@ -51,6 +56,7 @@
   // The connection to one sibling process.
   struct Sibling {
     Socket socket;
+    int pid = 0;
     bool accepts_clients = false, initial_state_received = false, closed = false;
     bool incompatible = false;  // protocol versions differ by more than one
     int version = 1;
@@ -60,9 +66,19 @@
     park::Thread reader, writer;    // last: they use all other members
   };
 
+  // Where the processes of this dispatcher meet.
+  struct MeetingPoint {
+    MeetingPoint(const std::string& folder, const std::string& name);
+    UnixSocketPath socket_path, temporary_path;
+  };
+
   void on_ready(park::ReadinessEvents events) override;
-  void on_timeout() override { on_ready({}); }
-  void add_sibling(Socket socket);
+  void on_timeout() override;
+  void accept_siblings();
+  bool listen_at_meeting_point();
+  void keep_reachable();
+  bool is_connected_to(int pid);
+  void add_sibling(Socket socket, int pid);
   void read_messages(Sibling& sibling);
   void wait_for_decision_loop(const Sibling& sibling);
   void write_messages(Sibling& sibling);
@@ -84,8 +100,11 @@
   std::atomic<bool> alone_{true}, stopping_{false};
   bool accepts_clients_ = false;
   core::LogRateLimit accept_error_log_;
-  Socket listener_;
-  park::EventLoop::Token token_ = park::EventLoop::kNoToken;
+  std::optional<MeetingPoint> meeting_point_;                 // set by join_siblings()
+  std::atomic<bool> sibling_ended_{false};                    // since keep_reachable() last ran
+  Socket listener_;                                           // used on the event loop's thread
+  FileIdentity listener_file_;                                // of the socket file of listener_
+  park::EventLoop::Token token_ = park::EventLoop::kNoToken;  // changed under the mutex
 };
 
 }  // namespace woadtide::net
--- a/src/net/unix_socket.cpp
+++ b/src/net/unix_socket.cpp
@@ -1,6 +1,7 @@
 #include "net/unix_socket.hpp"
 
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -14,6 +15,12 @@
   path = "/proc/self/fd/" + std::to_string(folder_fd.get()) + '/' + name;
 }
 
+FileIdentity file_identity(const std::string& path) {
+  struct stat status {};
+  if (::stat(path.c_str(), &status) != 0) return {};
+  return {status.st_dev, status.st_ino};
+}
+
 Socket make_unix_socket() { return Socket{Fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0))}; }
 
 int peer_pid(const Socket& socket) {
--- a/src/net/unix_socket.hpp
+++ b/src/net/unix_socket.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sys/socket.h>
+#include <sys/types.h>
 #include <sys/un.h>
 
 #include <cstring>
@@ -29,6 +30,15 @@
   Fd folder_fd;
 };
 
+// Tells files apart, as long as they exist; two that do not exist are equal.
+struct FileIdentity {
+  dev_t device = 0;
+  ino_t inode = 0;
+  bool operator==(const FileIdentity&) const = default;
+};
+// The identity of the file at `path`; that of no file where there is none.
+FileIdentity file_identity(const std::string& path);
+
 // An unconnected stream socket; empty on failure.
 Socket make_unix_socket();
 // The process id of the peer; 0 if the peer runs as another user, as a shared folder could hold such a
--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -1,5 +1,8 @@
 // Hot restart: two processes of one dispatcher, represented by two nodes that share a listening socket.
+#include <sys/wait.h>
+
 #include <atomic>
+#include <csignal>
 #include <filesystem>
 #include <thread>
 
@@ -31,6 +34,13 @@
     return std::make_unique<Node>(config, clock);
   }
   Peer client() { return Peer::to(listener.socket.port()); }
+  // The file at which the processes of the dispatcher meet. A socket that is about to take its place has a
+  // name with a dot, which is the same for all nodes of this test's process.
+  net::FileIdentity socket_file() const {
+    for (const auto& entry : std::filesystem::directory_iterator(folder))
+      if (entry.is_socket() && !entry.path().has_extension()) return net::file_identity(entry.path());
+    return {};
+  }
   // Sends a command to one given node, regardless of which one accepts on the shared socket.
   static std::string call(const Node& node, const std::string& line) { return call_management(node, line); }
 
@@ -124,6 +134,59 @@
   CHECK_THROWS_AS(net::Socket::adopt_listener(12345), std::runtime_error);
 }
 
+// Guards the drain rule: a worker that an operator had excluded once got requests again after a hot restart
+// whose new process was killed and started again, as that one could not find the old process.
+TEST_CASE("after the new process of a hot restart has died, a further one still finds the old one") {
+  TwoProcesses processes;
+  const EndpointEntries hosts{endpoint_json("w", processes.worker.dial())};
+  auto old = processes.start(hosts);
+  const Peer watch = confirm_list(processes.discovery, *old);
+  CHECK(starts_with(TwoProcesses::call(*old, "exclude w\n"), "done"));
+  for (int restarts = 0; restarts < 2; ++restarts) {
+    auto died = processes.start(hosts);
+    await_ready(*died);
+    const net::FileIdentity left_behind = processes.socket_file();
+    died.reset();
+    processes.clock.set(processes.clock.now() + 1'001);
+    wait_until([&] { return processes.socket_file() != left_behind; });
+  }
+  auto next = processes.start(hosts);
+  await_ready(*next);
+  old.reset();
+  Peer client = processes.client();
+  client.write(query_text("b1", "refund-payout"));
+  CHECK(starts_with(client.read_message(), "HTTP/1.1 503 "));
+  CHECK(contains(TwoProcesses::call(*next, "telemetry\n"), "app.ejected:1|g\n"));
+}
+
+// Guards the same where the old process is held up while the new one starts: they meet once it goes on.
+TEST_CASE("a process whose place another one has taken unseen connects to it by itself") {
+  TwoProcesses processes;
+  core::Inbox inbox;
+  park::EventLoop event_loop(processes.clock);
+  net::HotRestart restart(processes.clock, inbox, event_loop, [](std::size_t) {});
+  restart.join_siblings(processes.folder, "s", 0);
+  CHECK(restart.has_no_sibling());
+  int ready[2];
+  REQUIRE(::pipe(ready) == 0);
+  const net::UnixSocketPath path(processes.folder, "s"), temporary(processes.folder, "t");
+  const pid_t other = ::fork();
+  if (other == 0) {  // another process, as one knows a sibling by its process id
+    const net::Socket listener = net::listen_replacing(path, temporary);
+    const bool told = ::write(ready[1], "x", 1) == 1;
+    ::poll(nullptr, 0, told ? 10'000 : 0);
+    ::_exit(0);
+  }
+  char byte = 0;
+  REQUIRE(::read(ready[0], &byte, 1) == 1);
+  processes.clock.set(kStartTimeMs + 1'001);
+  wait_until([&] { return !restart.has_no_sibling(); });
+  ::kill(other, SIGKILL);
+  ::waitpid(other, nullptr, 0);
+  ::close(ready[0]);
+  ::close(ready[1]);
+}
+
 // Guards the use of cold workers in a hot restart: the old process once kept half of the turns at them and
 // sent nothing.
 TEST_CASE("a process that no longer accepts clients leaves its turns at cold workers to the other") {
