Prolong no list by failed calls after a reload, until the new address has sent one

Cause: a call refused with 503 was taken as proof that discovery is down, and put the held list in force for 6 s from that call, each time again.

Ruled out: that the 4 s themselves were counted wrongly. The interruption carries the right time (first check of the new test); the next refusal replaced it.

Change: no failed call prolongs the list until one has come from the new address. A connection that ends without an answer is a refusal, not an address out of reach, as PROTOCOL has it.

--- a/src/net/host_group.cpp
+++ b/src/net/host_group.cpp
@@ -85,6 +85,7 @@
   no_call_before_ = response_timeout_ms_ = 0;
   if (body_ && list_received_) as_of_ = last_message_at_;
   if (as_of_) as_of_ = std::min(*as_of_, clock_.now() - (core::kUpdateBindsAfterMs - kAddressChangeGraceMs));
+  address_confirmed_ = false;
   report_interruption();
   // There is only one watch: an open one is shut down and reopened at the new address.
   address_changed_ = watching_;
@@ -193,7 +194,7 @@
     IoResult read_status = IoResult::done;
     const auto length = intake_->read_head(BufferedInput::kNoWait, read_status);
     if (!length && read_status == IoResult::timed_out) return;
-    if (!length) throw Failure(EndReason::unreachable, "the connection ended before a response");
+    if (!length) throw Failure(EndReason::refused, "the connection ended before a response");
     const MessageHead head = parse_response_head(intake_->view().substr(0, *length));
     response_timeout_ms_ = 0;
     if (head.status != 200)
@@ -222,7 +223,7 @@
 void EndpointListClient::throw_connection_ended() {
   if (list_received_) throw Failure(EndReason::closed_by_discovery, "the connection ended");
   reader_.finish();  // throws if a list was truncated
-  throw Failure(EndReason::unreachable, "the connection ended");
+  throw Failure(EndReason::refused, "the connection ended");
 }
 
 // Called with the mutex held, from process_available_input().
@@ -240,6 +241,7 @@
     core::log_line("watch: open at seq " + std::to_string(update.sequence));
   reopen_delay_ms_ = 0;
   silent_since_last_list_ = false;
+  address_confirmed_ |= !address_changed_;
   unusable_lists_in_row_ = 0;
   as_of_ = clock_.now();
   accept_update(std::move(update));
@@ -317,9 +319,8 @@
 }
 
 // Called with the mutex held. Changes take effect some time after they could be received. A watch that
-// discovery closes, and a call that is refused, show that discovery went down or is down: then it cannot send
-// changes to others either. A watch that falls silent shows nothing, and a call refused after that may be one
-// of too many.
+// discovery closes, and a call that fails in a way that shows an outage, tell that discovery went down or is
+// down: then it cannot send changes to others either. A watch that falls silent shows nothing.
 void EndpointListClient::update_as_of(EndReason reason) {
   if (body_ && list_received_) as_of_ = last_message_at_;
   if (reason == EndReason::silent) silent_since_last_list_ = true;
@@ -328,8 +329,15 @@
     delay_next_call();
     as_of_ = std::max({as_of_.value_or(0), call_started_at_, no_call_before_});
   }
-  if (reason == EndReason::unreachable || (reason == EndReason::refused && !silent_since_last_list_))
-    as_of_ = std::max(as_of_.value_or(call_started_at_), call_started_at_);
+  if (shows_outage(reason)) as_of_ = std::max(as_of_.value_or(call_started_at_), call_started_at_);
+}
+
+// Called with the mutex held. A call that is refused after a watch fell silent may be one of too many:
+// discovery is up and has sent its changes to others. After a reload changes at the new address take effect
+// kAddressChangeGraceMs later, whatever becomes of the calls.
+bool EndpointListClient::shows_outage(EndReason reason) const {
+  if (!address_confirmed_) return false;
+  return reason == EndReason::unreachable || (reason == EndReason::refused && !silent_since_last_list_);
 }
 
 // Called with the mutex held. The first unusable list may be a transmission fault; further ones are read only
--- a/src/net/host_group.hpp
+++ b/src/net/host_group.hpp
@@ -100,12 +100,15 @@
   double read_timeout_ms() const;
   static void log_changes(const endpoints::EndpointDelta& delta);
   // Why a watch or a call ended, which tells whether discovery may have sent newer lists to others since.
-  // local_error: this machine was short of a resource, which says nothing about discovery.
+  // unreachable: no connection, or the request could not be sent. refused: an answer other than a list, or
+  // the connection ended without one. local_error: this machine was short of a resource, which says nothing
+  // about discovery.
   enum class EndReason { closed_by_discovery, unreachable, refused, silent, invalid_list, local_error };
   struct Failure;
   void end_watch(EndReason reason, const std::string& why);
   void retry_after_local_error(const std::string& why);
   void update_as_of(EndReason reason);
+  bool shows_outage(EndReason reason) const;
   std::optional<woadtide::Micros> as_of() const;
   void report_interruption();
   void notify_first_list();
@@ -148,6 +151,7 @@
   int unusable_lists_in_row_ = 0;        // since the last valid list
   int unusable_lists_ = 0;               // in total
   bool silent_since_last_list_ = false;  // since the last list: a failed call may be one of too many
+  bool address_confirmed_ = true;        // a list has come from the address that a reload gave
   core::LogRateLimit local_failure_log_;
   std::function<void()> on_first_list_;
 };
--- a/tests/lists_test.cpp
+++ b/tests/lists_test.cpp
@@ -282,6 +282,47 @@
   CHECK(second_failure.as_of == core::to_micros(kStartTimeMs + 3'000));
 }
 
+// Guards the drain rule after SIGHUP: a call at the new address that was refused at once kept the old list in
+// force, again with each further one, while workers drained.
+TEST_CASE("after a reload no failed call prolongs the list, until one has come from the new address") {
+  ClientUnderTest client(EndpointListClient::DiscoveryMode::on_request);
+  client.hosts.start_watch();
+  Peer watch = client.accept_watch("41");
+  ClientUnderTest::send_line(watch, list_line(42, true, {endpoint_json("w", "127.0.0.1:1")}));
+  CHECK(client.next().kind == ListKind::full);
+  ListeningPort new_address;
+  client.clock.set(kStartTimeMs + 500);
+  client.hosts.set_discovery_address(new_address.dial());
+  // The list is in force for 6 s from this time, so for 4 s from the reload.
+  const auto told_by = core::to_micros(kStartTimeMs + 500 - 2'000);
+  CHECK(client.next().as_of == told_by);
+  for (int call = 0; call < 3; ++call) {
+    Peer refused = new_address.accept();
+    refused.read_message();
+    refused.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    const ListUpdate failed = client.next();
+    CHECK(failed.kind == ListKind::failed);
+    CHECK(failed.as_of == told_by);
+    client.clock.set(client.clock.now() + 1'000);
+    client.hosts.start_watch();
+  }
+  {
+    Peer opened = new_address.accept();
+    opened.read_message();
+    opened.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    ClientUnderTest::send_line(opened, list_line(43, true, {endpoint_json("w", "127.0.0.1:1")}));
+    CHECK(client.next().kind == ListKind::full);
+  }
+  CHECK(client.next().kind == ListKind::failed);  // discovery has closed the watch
+  client.hosts.start_watch();
+  Peer down = new_address.accept();
+  down.read_message();
+  client.clock.set(client.clock.now() + 100);
+  const double called_at = client.clock.now() - 100;
+  down.socket = net::Socket{};
+  CHECK(client.next().as_of == core::to_micros(called_at));
+}
+
 // Guards the drain rule at a restart: workers in the remembered list may have drained long ago.
 TEST_CASE("a node accepts clients with its first list, and sends no query by the remembered one before") {
   ListeningPort worker, discovery;
