--- a/src/lab/flawed.cpp
+++ b/src/lab/flawed.cpp
@@ -72,7 +72,8 @@
       core::ExecutionEnded failure;
       failure.key = execution.key;
       failure.status = Status::error;
-      return inbox_.push(std::move(failure));
+      inbox_.push(std::move(failure));
+      return;
     }
     links_.start(std::move(execution));
   }
