--- a/tests/succession_test.cpp
+++ b/tests/succession_test.cpp
@@ -244,7 +244,7 @@
     sibling.restart.send({core::SiblingMessage::Kind::list, list + std::to_string(i)});
   sibling.restart.send({core::SiblingMessage::Kind::exclude, "w"});
   std::this_thread::sleep_for(std::chrono::milliseconds(700));  // more than twice the timeout of a send
-  while (!contains(sibling.peer.received, "exclude w\n")) REQUIRE(sibling.peer.read_some());
+  while (!sibling.peer.received.ends_with("exclude w\n")) REQUIRE(sibling.peer.read_some());
   CHECK(contains(sibling.peer.received, list + "19\n"));
   CHECK(sibling.peer.received.size() < 4 * list.size());
 }
