Review: in an upgrade a bad client makes payouts run at both processes

Cause: a process tells the other one of an id when its first attempt begins, and waits for nothing. A copy of the request that the other process reads before that message is a new request there, and runs.

No code of the project is changed.

--- a/review/parts-2/rig.hpp
+++ b/review/parts-2/rig.hpp
@@ -481,8 +481,8 @@
     buffer_.clear();
   }
   // Sends `text`, one whole request, and waits for its answer. A kept connection that was closed between two
-  // requests is replaced once, as the protocol page says.
-  Answer ask(const std::string& text, double patience_ms) {
+  // requests is replaced once, as the protocol page says. `on_sent` is called once the last byte is written.
+  Answer ask(const std::string& text, double patience_ms, const std::function<void()>& on_sent = {}) {
     for (int tries = 0;; ++tries) {
       const bool reused = fd_ >= 0;
       if (!reused) fd_ = connect_to(port_);
@@ -490,6 +490,7 @@
       if (fd_ < 0) return answer.how = "no connection", answer;
       const bool sent = send_all(fd_, text);
       const double sent_at = steady_ms();
+      if (sent && on_sent) on_sent();
       const Got got = sent ? read_message(fd_, buffer_, answer.message, sent_at + patience_ms) : Got::reset;
       answer.after_ms = steady_ms() - sent_at;
       if (got == Got::data) {
